--- /dev/null
+++ b/include/guavasail/effect.h
@@ -0,0 +1,91 @@
+/// \file
+/// Effects: everything that the reducer asks for, as data. Views in an effect
+/// are valid until the next event is reduced.
+#ifndef GUAVASAIL_EFFECT_H
+#define GUAVASAIL_EFFECT_H
+
+#include "guavasail/clock.h"
+#include "guavasail/handle.h"
+#include "guavasail/peer_message.h"
+#include "guavasail/refusal.h"
+
+#include <span>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace guavasail {
+
+/// Send the request to an instance over a lane that carries nothing else.
+struct StartAttempt {
+  AttemptHandle Attempt;
+  InstanceHandle Instance;
+  Lane Connection;
+  /// Time left for the whole request; passed on to the backend server.
+  Duration Remaining{};
+};
+
+/// Stop an attempt and drop whatever it still yields.
+struct CancelAttempt {
+  AttemptHandle Attempt;
+};
+
+/// Pass the attempt's answer to the caller, head first, as it arrives.
+struct RelayAnswer {
+  AttemptHandle Attempt;
+};
+
+/// The answer is whole: complete it towards the caller.
+struct FinishAnswer {
+  RequestHandle Request;
+};
+
+/// The answer broke after it was begun: end it so that the caller can see
+/// that it is not whole.
+struct AbortAnswer {
+  RequestHandle Request;
+};
+
+/// Refuse the request. Nothing was sent to the caller before.
+struct RefuseRequest {
+  RequestHandle Request;
+  RefusalKind Kind = RefusalKind::NoInstance;
+  /// When the caller may try again; zero if unknown.
+  Duration RetryAfter{};
+};
+
+/// Send a message to another daemon. It may be lost.
+struct SendPeer {
+  VmHandle To;
+  PeerBody Body;
+};
+
+/// No request is in progress and the VM was asked to stop.
+struct DrainCompleted {};
+
+using Effect =
+    std::variant<StartAttempt, CancelAttempt, RelayAnswer, FinishAnswer,
+                 AbortAnswer, RefuseRequest, SendPeer, DrainCompleted>;
+
+/// Collects effects. The memory is used again for each event.
+class EffectBuffer {
+public:
+  /// Appends one effect.
+  template <typename T> void push(T &&effect) {
+    Items.emplace_back(std::forward<T>(effect));
+  }
+
+  /// Forgets all effects and keeps the memory.
+  void clear() { Items.clear(); }
+
+  /// \returns the collected effects in order.
+  [[nodiscard]] std::span<const Effect> items() const { return Items; }
+
+private:
+  std::vector<Effect> Items;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/include/guavasail/reducer.h
@@ -0,0 +1,56 @@
+/// \file
+/// The reducer: all decisions of one daemon.
+#ifndef GUAVASAIL_REDUCER_H
+#define GUAVASAIL_REDUCER_H
+
+#include "guavasail/effect.h"
+#include "guavasail/event.h"
+#include "guavasail/limits.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace guavasail {
+
+/// Ways to choose an instance for an attempt.
+enum class BalanceKind : uint8_t { RoundRobin, LeastLoadedOfTwo };
+
+/// Describes a reducer. Fill in what differs from the defaults.
+struct ReducerInit {
+  Limits Bounds;
+  /// Availability zone of this VM.
+  std::string_view Zone;
+  BalanceKind Balance = BalanceKind::LeastLoadedOfTwo;
+  /// Seed of every random choice.
+  uint64_t Seed = 1;
+};
+
+struct ReducerState;
+
+/// Turns events into effects. It does no input or output and reads no clock.
+class Reducer {
+public:
+  /// \param init limits, place and strategies of this daemon.
+  explicit Reducer(const ReducerInit &init);
+  ~Reducer();
+  Reducer(const Reducer &) = delete;
+  Reducer &operator=(const Reducer &) = delete;
+
+  /// Applies one event.
+  /// \param event what happened; its time must not go backwards.
+  /// \param effects receives what has to be done, in order.
+  void reduce(const Event &event, EffectBuffer &effects);
+
+  /// \returns when `TimeAdvanced` is wanted next, or `NeverInstant`.
+  [[nodiscard]] Instant nextWake() const;
+
+  /// \returns the state, for the parts that answer questions about it.
+  [[nodiscard]] const ReducerState &state() const { return *State; }
+
+private:
+  std::unique_ptr<ReducerState> State;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/include/guavasail/settings.h
@@ -0,0 +1,98 @@
+/// \file
+/// Settings of one daemon and the failures of reading them.
+#ifndef GUAVASAIL_SETTINGS_H
+#define GUAVASAIL_SETTINGS_H
+
+#include "guavasail/catalog.h"
+#include "guavasail/limits.h"
+
+#include <boost/outcome/result.hpp>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace guavasail {
+
+/// What is wrong with a settings file.
+enum class SettingsFault : uint8_t {
+  FileUnreadable,
+  SyntaxInvalid,
+  KeyUnknown,
+  KeyMissing,
+  TypeWrong,
+  ValueOutOfRange,
+  ReferenceUnknown,
+  NameRepeated,
+};
+
+/// One fault of a settings file.
+struct SettingsFailure {
+  SettingsFault Fault = SettingsFault::FileUnreadable;
+  std::string File;
+  /// Line number, starting at 1; 0 if the fault has no place.
+  uint32_t Line = 0;
+  /// Dotted key, such as "service.instance.port".
+  std::string Key;
+  /// What the key accepts.
+  std::string Expected;
+};
+
+/// All faults of one settings file.
+struct SettingsFailures {
+  std::vector<SettingsFailure> Items;
+};
+
+/// A value, or every fault that was found.
+template <typename T>
+using SettingsResult = BOOST_OUTCOME_V2_NAMESPACE::basic_result<
+    T, SettingsFailures, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+
+/// How log lines are written.
+enum class LogFormat : uint8_t { Text, Json };
+
+/// Where the daemon listens and how it logs.
+struct DaemonSettings {
+  std::string Name = "guavasail";
+  std::string Zone;
+  /// IP number that callers reach.
+  std::string ListenAddress = "127.0.0.1";
+  uint32_t ListenPort = 8080;
+  /// PEM files; TLS is off if they are empty.
+  std::string TlsCertificate;
+  std::string TlsKey;
+  /// One of "debug", "info", "warning", "error".
+  std::string LogLevel = "info";
+  /// One of "text", "json".
+  std::string LogFormatName = "text";
+};
+
+/// Everything in a settings file.
+struct Settings {
+  DaemonSettings Daemon;
+  Limits Bounds;
+  CatalogSpec Catalog;
+};
+
+/// Reads a settings file.
+/// \param path file in TOML.
+/// \returns the settings, or all faults of the file.
+SettingsResult<Settings> readSettings(const std::string &path);
+
+/// Parses settings.
+/// \param text TOML.
+/// \param file name used in failures.
+/// \returns the settings, or all faults of the text.
+SettingsResult<Settings> parseSettings(std::string_view text,
+                                       std::string_view file);
+
+/// \returns the stable name of \p fault.
+std::string_view settingsFaultName(SettingsFault fault);
+
+/// \returns one line that describes \p failure to an operator.
+std::string describe(const SettingsFailure &failure);
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/balancer.h
@@ -0,0 +1,63 @@
+/// \file
+/// Chooses the instance for an attempt. Ways to choose are rows of a table.
+#ifndef GUAVASAIL_SRC_BALANCER_H
+#define GUAVASAIL_SRC_BALANCER_H
+
+#include "catalog_index.h"
+#include "guavasail/reducer.h"
+#include "instance_table.h"
+
+#include <random>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace guavasail {
+
+/// What a choice depends on.
+struct BalanceInput {
+  const CatalogIndex &Catalog;
+  const InstanceTable &Instances;
+  ServiceHandle Service;
+  /// Instance that an earlier attempt used; avoided while others remain.
+  InstanceHandle Avoid;
+  /// Zone of this VM; its instances go first.
+  ZoneHandle Zone;
+  uint32_t LanesPerInstance = 0;
+};
+
+/// Picks instances.
+class Balancer {
+public:
+  Balancer(BalanceKind kind, uint64_t seed) : Kind(kind), Random(seed) {}
+
+  /// \returns an instance that can take a request, invalid if none can.
+  InstanceHandle pick(const BalanceInput &input);
+
+private:
+  using PickMember = InstanceHandle (Balancer::*)(
+      const BalanceInput &input, std::span<const InstanceHandle> candidates);
+
+  struct Strategy {
+    BalanceKind Kind;
+    std::string_view Name;
+    PickMember Pick;
+  };
+
+  static const Strategy Strategies[];
+
+  InstanceHandle pickNext(const BalanceInput &input,
+                          std::span<const InstanceHandle> candidates);
+  InstanceHandle pickLeastOfTwo(const BalanceInput &input,
+                                std::span<const InstanceHandle> candidates);
+  void collect(const BalanceInput &input);
+
+  BalanceKind Kind;
+  std::mt19937_64 Random;
+  uint32_t Turn = 0;
+  std::vector<InstanceHandle> Candidates;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/catalog_index.h
@@ -0,0 +1,151 @@
+/// \file
+/// The accepted catalog, indexed for lookups on the request path.
+#ifndef GUAVASAIL_SRC_CATALOG_INDEX_H
+#define GUAVASAIL_SRC_CATALOG_INDEX_H
+
+#include "guavasail/catalog.h"
+#include "guavasail/handle.h"
+#include "name_table.h"
+
+#include <cstring>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace guavasail {
+
+struct InstanceEntry {
+  InstanceSpec Spec;
+  ServiceHandle Service;
+  ZoneHandle Zone;
+  /// False once the catalog no longer names the instance.
+  bool Present = false;
+};
+
+struct ServiceEntry {
+  uint32_t FloorPercent = 0;
+  std::vector<InstanceHandle> Instances;
+  bool Present = false;
+};
+
+struct RouteEntry {
+  ServiceHandle Service;
+  Duration Timeout{};
+  /// Sorted; empty means every workspace.
+  std::vector<WorkspaceHandle> Workspaces;
+  bool Present = false;
+};
+
+struct WorkspaceEntry {
+  uint32_t Weight = 1;
+  uint32_t RatePerSecond = 0;
+  uint32_t Burst = 0;
+  bool Present = false;
+};
+
+/// Answers lookups by path, by key digest and by handle.
+class CatalogIndex {
+public:
+  /// Takes over \p spec. Entries keep the handles of their names.
+  void accept(const CatalogSpec &spec);
+
+  /// \returns the route with the longest prefix of \p path that ends at a
+  /// segment border, invalid if there is none.
+  [[nodiscard]] RouteHandle route(std::string_view path) const;
+
+  /// \returns the workspace that owns \p key, invalid if there is none.
+  [[nodiscard]] WorkspaceHandle workspace(const Digest &key) const;
+
+  /// \returns true if \p workspace may use \p route.
+  [[nodiscard]] bool allowed(RouteHandle route,
+                             WorkspaceHandle workspace) const;
+
+  [[nodiscard]] uint64_t version() const { return Version; }
+  [[nodiscard]] std::span<const InstanceEntry> instances() const {
+    return Instances;
+  }
+  [[nodiscard]] std::span<const ServiceEntry> services() const {
+    return Services;
+  }
+  [[nodiscard]] std::span<const RouteEntry> routes() const { return Routes; }
+  [[nodiscard]] std::span<const WorkspaceEntry> workspaces() const {
+    return Workspaces;
+  }
+  [[nodiscard]] const InstanceEntry &at(InstanceHandle handle) const {
+    return Instances[handle.Value];
+  }
+  [[nodiscard]] const ServiceEntry &at(ServiceHandle handle) const {
+    return Services[handle.Value];
+  }
+  [[nodiscard]] const RouteEntry &at(RouteHandle handle) const {
+    return Routes[handle.Value];
+  }
+  [[nodiscard]] const WorkspaceEntry &at(WorkspaceHandle handle) const {
+    return Workspaces[handle.Value];
+  }
+
+  /// \returns the name of \p handle; instances are "service/instance".
+  [[nodiscard]] std::string_view name(InstanceHandle handle) const {
+    return InstanceNames.name(handle);
+  }
+  [[nodiscard]] std::string_view name(ServiceHandle handle) const {
+    return ServiceNames.name(handle);
+  }
+  [[nodiscard]] std::string_view name(RouteHandle handle) const {
+    return RouteNames.name(handle);
+  }
+  [[nodiscard]] std::string_view name(WorkspaceHandle handle) const {
+    return WorkspaceNames.name(handle);
+  }
+  [[nodiscard]] std::string_view name(ZoneHandle handle) const {
+    return ZoneNames.name(handle);
+  }
+
+  /// \returns the handle of a zone name, interned if new.
+  ZoneHandle zone(std::string_view name) { return ZoneNames.intern(name); }
+  [[nodiscard]] ServiceHandle findService(std::string_view name) const {
+    return ServiceNames.find(name);
+  }
+  [[nodiscard]] WorkspaceHandle findWorkspace(std::string_view name) const {
+    return WorkspaceNames.find(name);
+  }
+  [[nodiscard]] InstanceHandle findInstance(std::string_view name) const {
+    return InstanceNames.find(name);
+  }
+
+private:
+  // Digests are uniform, so any eight bytes serve as the hash.
+  struct DigestHash {
+    size_t operator()(const Digest &digest) const {
+      size_t hash = 0;
+      std::memcpy(&hash, digest.Bytes.data(), sizeof(hash));
+      return hash;
+    }
+  };
+
+  void markAllAbsent();
+  void acceptService(const ServiceSpec &spec);
+  void acceptInstance(ServiceHandle service, const ServiceSpec &owner,
+                      const InstanceSpec &spec);
+  void acceptWorkspace(const WorkspaceSpec &spec);
+  void acceptRoute(const RouteSpec &spec);
+
+  uint64_t Version = 0;
+  NameTable<ZoneHandle> ZoneNames;
+  NameTable<ServiceHandle> ServiceNames;
+  NameTable<InstanceHandle> InstanceNames;
+  NameTable<RouteHandle> RouteNames;
+  NameTable<WorkspaceHandle> WorkspaceNames;
+  std::vector<InstanceEntry> Instances;
+  std::vector<ServiceEntry> Services;
+  std::vector<RouteEntry> Routes;
+  std::vector<WorkspaceEntry> Workspaces;
+  NameTable<RouteHandle> Prefixes;
+  std::vector<RouteHandle> RouteOfPrefix;
+  std::unordered_map<Digest, WorkspaceHandle, DigestHash> Keys;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,184 @@
+#include "daemon.h"
+
+#include "log.h"
+#include "reducer_state.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <sodium.h>
+
+namespace guavasail {
+
+namespace {
+
+constexpr Duration TimerResolution = std::chrono::milliseconds(1);
+
+/// \returns the time of the clock that also runs while the VM is paused.
+Instant bootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  auto sinceBoot =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return Instant(std::chrono::duration_cast<Duration>(sinceBoot));
+}
+
+uint64_t randomSeed() {
+  uint64_t seed = 0;
+  randombytes_buf(&seed, sizeof(seed));
+  return seed;
+}
+
+ReducerInit reducerInit(const Settings &settings) {
+  ReducerInit init;
+  init.Bounds = settings.Bounds;
+  init.Zone = settings.Daemon.Zone;
+  init.Seed = randomSeed();
+  return init;
+}
+
+template <typename HandleType> Daemon *ownerOf(HandleType *handle) {
+  return static_cast<Daemon *>(handle->data);
+}
+
+void logLibrary(int level, const char *line) {
+  std::string_view text(line);
+  if (text.ends_with('\n'))
+    text.remove_suffix(1);
+  logLine(level == LLL_ERR ? LogLevel::Warning : LogLevel::Debug,
+          "http-library", {{"text", text}});
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings &settings)
+    : Config(settings), Decisions(reducerInit(settings)) {}
+
+Daemon::~Daemon() {
+  if (Context)
+    lws_context_destroy(Context);
+  if (!LoopOpen)
+    return;
+  uv_handle_t *own[] = {reinterpret_cast<uv_handle_t *>(&Timer),
+                        reinterpret_cast<uv_handle_t *>(&Prepare),
+                        reinterpret_cast<uv_handle_t *>(&Check),
+                        reinterpret_cast<uv_handle_t *>(&Terminate),
+                        reinterpret_cast<uv_handle_t *>(&Interrupt)};
+  for (uv_handle_t *handle : own)
+    uv_close(handle, nullptr);
+  // The HTTP library closes its own handles while the loop runs on.
+  uv_run(&Loop, UV_RUN_DEFAULT);
+  uv_loop_close(&Loop);
+}
+
+StartFault Daemon::start() {
+  if (uv_loop_init(&Loop) != 0)
+    return StartFault::LoopFailed;
+  LoopOpen = true;
+  uv_timer_init(&Loop, &Timer);
+  uv_prepare_init(&Loop, &Prepare);
+  uv_check_init(&Loop, &Check);
+  uv_signal_init(&Loop, &Terminate);
+  uv_signal_init(&Loop, &Interrupt);
+  Timer.data = Prepare.data = Check.data = this;
+  Terminate.data = Interrupt.data = this;
+  uv_prepare_start(&Prepare, &Daemon::onPrepare);
+  uv_check_start(&Check, &Daemon::onCheck);
+  uv_signal_start(&Terminate, &Daemon::onSignal, SIGTERM);
+  uv_signal_start(&Interrupt, &Daemon::onSignal, SIGINT);
+
+  lws_set_log_level(LLL_ERR | LLL_WARN, &logLibrary);
+  void *loops[] = {&Loop};
+  lws_context_creation_info info{};
+  info.options = LWS_SERVER_OPTION_LIBUV | LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
+                 LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+  info.foreign_loops = loops;
+  info.pt_serv_buf_size = 32 * 1024;
+  info.max_http_header_data =
+      static_cast<unsigned short>(Config.Bounds.HeaderBytes);
+  info.max_http_header_pool = static_cast<unsigned short>(
+      std::min(Config.Bounds.CallerConnections, 65535u));
+  Context = lws_create_context(&info);
+  if (!Context)
+    return StartFault::LoopFailed;
+  Back = std::make_unique<BackHttp>(Context, Config.Bounds, Exchanges, *this);
+  Front = std::make_unique<FrontHttp>(Context, Config, Exchanges, *Back, *this);
+  Back->listen(*Front);
+  if (!Front->open())
+    return StartFault::ListenFailed;
+  post(CatalogAccepted{&Config.Catalog});
+  drainEvents();
+  Front->setServing(ServingState::Ready);
+  return StartFault::None;
+}
+
+void Daemon::run() { uv_run(&Loop, UV_RUN_DEFAULT); }
+
+void Daemon::post(const EventBody &body) { Queue.push_back(body); }
+
+void Daemon::drainEvents() {
+  while (!Queue.empty()) {
+    Effects.clear();
+    Decisions.reduce({bootTime(), Queue.front()}, Effects);
+    Queue.pop_front();
+    for (const Effect &effect : Effects.items())
+      execute(effect);
+  }
+  Exchanges.recycle();
+  armTimer();
+}
+
+void Daemon::armTimer() {
+  Instant due = Decisions.nextWake();
+  if (due == Armed)
+    return;
+  Armed = due;
+  if (due == NeverInstant) {
+    uv_timer_stop(&Timer);
+    return;
+  }
+  Duration wait = std::max(due - bootTime(), Duration::zero());
+  auto millis = std::chrono::ceil<std::chrono::milliseconds>(wait);
+  uv_timer_start(&Timer, &Daemon::onTimer,
+                 static_cast<uint64_t>(millis.count()), 0);
+}
+
+void Daemon::execute(const Effect &effect) {
+  std::visit([this](const auto &body) { on(body); }, effect);
+}
+
+void Daemon::on(const StartAttempt &effect) {
+  Back->start(effect, Decisions.state().Catalog.at(effect.Instance).Spec);
+}
+void Daemon::on(const CancelAttempt &effect) { Back->cancel(effect); }
+void Daemon::on(const RelayAnswer &effect) { Front->relay(effect); }
+void Daemon::on(const FinishAnswer &effect) { Front->finish(effect); }
+void Daemon::on(const AbortAnswer &effect) { Front->abort(effect); }
+void Daemon::on(const RefuseRequest &effect) { Front->refuse(effect); }
+void Daemon::on(const SendPeer &) {}
+void Daemon::on(const DrainCompleted &) {
+  logLine(LogLevel::Info, "drain-completed", {});
+  stopLoop();
+}
+
+void Daemon::stopLoop() { uv_stop(&Loop); }
+
+void Daemon::onTimer(uv_timer_t *timer) {
+  Daemon *self = ownerOf(timer);
+  self->Armed = NeverInstant;
+  self->post(TimeAdvanced{});
+}
+
+void Daemon::onPrepare(uv_prepare_t *prepare) {
+  ownerOf(prepare)->drainEvents();
+}
+
+void Daemon::onCheck(uv_check_t *check) { ownerOf(check)->drainEvents(); }
+
+void Daemon::onSignal(uv_signal_t *signal, int) {
+  Daemon *self = ownerOf(signal);
+  self->Front->setServing(ServingState::Draining);
+  self->post(DrainRequested{});
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,80 @@
+/// \file
+/// The process shell: joins the loop, the front and back ends and the reducer.
+#ifndef GUAVASAIL_SRC_DAEMON_H
+#define GUAVASAIL_SRC_DAEMON_H
+
+#include "back_http.h"
+#include "event_sink.h"
+#include "exchange.h"
+#include "front_http.h"
+#include "guavasail/reducer.h"
+#include "guavasail/settings.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <uv.h>
+
+namespace guavasail {
+
+/// Why a daemon could not start.
+enum class StartFault : uint8_t { None, LoopFailed, ListenFailed };
+
+/// Runs one daemon on one loop.
+class Daemon : public EventSink {
+public:
+  explicit Daemon(const Settings &settings);
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  /// Opens sockets and accepts the settings' catalog.
+  /// \returns what went wrong, or `None`.
+  StartFault start();
+
+  /// Runs until a drain has completed.
+  void run();
+
+  void post(const EventBody &body) override;
+
+private:
+  void drainEvents();
+  void execute(const Effect &effect);
+  void armTimer();
+  void stopLoop();
+
+  void on(const StartAttempt &effect);
+  void on(const CancelAttempt &effect);
+  void on(const RelayAnswer &effect);
+  void on(const FinishAnswer &effect);
+  void on(const AbortAnswer &effect);
+  void on(const RefuseRequest &effect);
+  void on(const SendPeer &effect);
+  void on(const DrainCompleted &effect);
+
+  static void onTimer(uv_timer_t *timer);
+  static void onPrepare(uv_prepare_t *prepare);
+  static void onCheck(uv_check_t *check);
+  static void onSignal(uv_signal_t *signal, int number);
+
+  const Settings &Config;
+  uv_loop_t Loop{};
+  bool LoopOpen = false;
+  uv_timer_t Timer{};
+  uv_prepare_t Prepare{};
+  uv_check_t Check{};
+  uv_signal_t Terminate{};
+  uv_signal_t Interrupt{};
+  lws_context *Context = nullptr;
+  Reducer Decisions;
+  EffectBuffer Effects;
+  std::deque<EventBody> Queue;
+  ExchangeTable Exchanges;
+  std::unique_ptr<BackHttp> Back;
+  std::unique_ptr<FrontHttp> Front;
+  Instant Armed = NeverInstant;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/exchange.h
@@ -0,0 +1,173 @@
+/// \file
+/// One HTTP request with its answer, shared by the caller's side and the
+/// backend server's side of the process.
+#ifndef GUAVASAIL_SRC_EXCHANGE_H
+#define GUAVASAIL_SRC_EXCHANGE_H
+
+#include "guavasail/handle.h"
+#include "guavasail/refusal.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct lws;
+
+namespace guavasail {
+
+/// One header line. The name ends with a colon.
+struct HeaderField {
+  std::string Name;
+  std::string Value;
+};
+
+/// Status line and headers of an answer.
+struct AnswerHead {
+  uint32_t Status = 0;
+  /// Declared body length in bytes.
+  std::optional<uint64_t> Length;
+  std::vector<HeaderField> Fields;
+};
+
+/// Bytes with a read position. Memory is used again once all bytes are read.
+class ByteQueue {
+public:
+  void append(std::string_view bytes) { Bytes.append(bytes); }
+
+  [[nodiscard]] std::string_view unread() const {
+    return std::string_view(Bytes).substr(At);
+  }
+
+  void consume(size_t n) {
+    At += n;
+    if (At < Bytes.size())
+      return;
+    Bytes.clear();
+    At = 0;
+  }
+
+  void clear() {
+    Bytes.clear();
+    At = 0;
+  }
+
+private:
+  std::string Bytes;
+  size_t At = 0;
+};
+
+/// One attempt's call to a backend server.
+struct BackendCall {
+  AttemptHandle Attempt;
+  struct lws *Wsi = nullptr;
+  AnswerHead Head;
+  ByteQueue Answer;
+  /// Body bytes of the answer received so far.
+  uint64_t AnswerBytes = 0;
+  /// Body bytes of the request sent so far.
+  uint64_t SentBytes = 0;
+  /// Reading is stopped until the caller takes more.
+  bool Paused = false;
+};
+
+/// What the caller's side has to do next.
+enum class AnswerStage : uint8_t { Waiting, Head, Body, Broken, Refusal };
+
+/// One request in progress.
+struct Exchange {
+  RequestHandle Handle;
+  bool InUse = false;
+  /// The caller's connection or stream; null once it is gone.
+  struct lws *Caller = nullptr;
+
+  std::string Method;
+  std::string Path;
+  /// Path and query as sent to the backend server, without the key.
+  std::string Target;
+  std::string Host;
+  std::vector<HeaderField> Fields;
+  uint64_t BodyBytes = 0;
+  /// Received part of the body, from byte `BodyBase` on.
+  std::string Body;
+  uint64_t BodyBase = 0;
+  bool BodyPaused = false;
+
+  AnswerStage Stage = AnswerStage::Waiting;
+  bool AnswerWhole = false;
+  bool AnswerChunked = false;
+  RefusalKind Refusal = RefusalKind::NoInstance;
+  uint32_t RetryAfterSeconds = 0;
+  std::vector<std::unique_ptr<BackendCall>> Calls;
+  BackendCall *Source = nullptr;
+
+  /// \returns the call of \p attempt, or null.
+  BackendCall *call(AttemptHandle attempt) {
+    for (const auto &it : Calls)
+      if (it->Attempt == attempt)
+        return it.get();
+    return nullptr;
+  }
+
+  /// \returns the number of body bytes received so far.
+  [[nodiscard]] uint64_t receivedBytes() const {
+    return BodyBase + Body.size();
+  }
+};
+
+/// Exchanges by handle. Entries stay in place and are used again.
+class ExchangeTable {
+public:
+  /// \returns a fresh exchange.
+  Exchange &open() {
+    if (FreeIndexes.empty()) {
+      FreeIndexes.push_back(static_cast<uint32_t>(Items.size()));
+      Items.emplace_back();
+    }
+    uint32_t index = FreeIndexes.back();
+    FreeIndexes.pop_back();
+    Exchange &exchange = Items[index];
+    uint32_t generation = exchange.Handle.Generation + 1;
+    exchange = Exchange{};
+    exchange.Handle = {index, generation};
+    exchange.InUse = true;
+    ++Open;
+    return exchange;
+  }
+
+  /// \returns the exchange, or null if it ended.
+  Exchange *find(RequestHandle handle) {
+    if (handle.Index >= Items.size())
+      return nullptr;
+    Exchange &exchange = Items[handle.Index];
+    return exchange.InUse && exchange.Handle == handle ? &exchange : nullptr;
+  }
+
+  /// Ends an exchange. Its views stay valid until `recycle`.
+  void close(Exchange &exchange) {
+    exchange.InUse = false;
+    Closed.push_back(exchange.Handle.Index);
+    --Open;
+  }
+
+  /// Makes closed exchanges available again.
+  void recycle() {
+    FreeIndexes.insert(FreeIndexes.end(), Closed.begin(), Closed.end());
+    Closed.clear();
+  }
+
+  [[nodiscard]] uint32_t openCount() const { return Open; }
+
+private:
+  std::deque<Exchange> Items;
+  std::vector<uint32_t> FreeIndexes;
+  std::vector<uint32_t> Closed;
+  uint32_t Open = 0;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/front_http.cpp
@@ -0,0 +1,380 @@
+#include "front_http.h"
+
+#include "http_headers.h"
+#include "http_refusal.h"
+#include "http_request.h"
+#include "log.h"
+
+#include <algorithm>
+#include <array>
+
+namespace guavasail {
+
+namespace {
+
+constexpr size_t HeadBytes = 16 * 1024;
+constexpr size_t ChunkBytes = 16 * 1024;
+/// Room for the size line and the line end of an HTTP/1.1 chunk.
+constexpr size_t ChunkFrameBytes = 16;
+constexpr size_t BodyBufferBytes = 128 * 1024;
+constexpr std::string_view HealthPrefix = "/-/";
+constexpr uint32_t FirstErrorStatus = 500;
+
+const lws_protocols FrontProtocols[] = {
+    {"http", &FrontHttp::callback, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+};
+
+/// A health endpoint: good in the states that are listed.
+struct HealthRow {
+  std::string_view Path;
+  ServingState Good[3];
+};
+
+constexpr auto HealthRows = std::to_array<HealthRow>({
+    {"/-/alive",
+     {ServingState::Starting, ServingState::Ready, ServingState::Draining}},
+    {"/-/ready",
+     {ServingState::Ready, ServingState::Ready, ServingState::Ready}},
+    {"/-/draining",
+     {ServingState::Draining, ServingState::Draining, ServingState::Draining}},
+});
+
+constexpr auto StateNames =
+    std::to_array<std::string_view>({"starting", "ready", "draining"});
+
+void *packHandle(RequestHandle handle) {
+  uint64_t packed = (uint64_t{handle.Generation} << 32) | handle.Index;
+  return reinterpret_cast<void *>(packed);
+}
+
+/// \returns the handle in \p packed. Generations start at 1, so null is none.
+RequestHandle unpackHandle(void *packed) {
+  auto value = reinterpret_cast<uint64_t>(packed);
+  return {static_cast<uint32_t>(value), static_cast<uint32_t>(value >> 32)};
+}
+
+/// A head under construction.
+class HeadWriter {
+public:
+  explicit HeadWriter(lws *wsi) : Wsi(wsi) {}
+
+  bool status(uint32_t code) {
+    return lws_add_http_header_status(Wsi, code, &At, end()) == 0;
+  }
+  bool length(uint64_t n) {
+    return lws_add_http_header_content_length(Wsi, n, &At, end()) == 0;
+  }
+  bool field(std::string_view name, std::string_view value) {
+    HeaderField row{std::string(name), std::string(value)};
+    return fields({&row, 1});
+  }
+  bool fields(std::span<const HeaderField> rows) {
+    return writeFields(Wsi, rows, &At, end());
+  }
+  bool send() {
+    return lws_finalize_write_http_header(Wsi, Buffer.data() + LWS_PRE, &At,
+                                          end()) == 0;
+  }
+
+private:
+  unsigned char *end() { return Buffer.data() + Buffer.size(); }
+
+  lws *Wsi;
+  std::array<unsigned char, LWS_PRE + HeadBytes> Buffer;
+  unsigned char *At = Buffer.data() + LWS_PRE;
+};
+
+bool isHttp2(lws *wsi) { return lws_get_network_wsi(wsi) != wsi; }
+
+/// Sends body bytes, the last ones with \p mode `LWS_WRITE_HTTP_FINAL`.
+bool sendBody(lws *wsi, std::string_view bytes, lws_write_protocol mode) {
+  std::array<unsigned char, LWS_PRE + ChunkBytes + ChunkFrameBytes> buf;
+  std::copy(bytes.begin(), bytes.end(), buf.data() + LWS_PRE);
+  return lws_write(wsi, buf.data() + LWS_PRE, bytes.size(), mode) >= 0;
+}
+
+/// \returns \p bytes as an HTTP/1.1 chunk, with the last chunk if \p last.
+std::string frameChunk(std::string_view bytes, bool last) {
+  std::array<char, ChunkFrameBytes> size{};
+  std::string out;
+  if (!bytes.empty()) {
+    int n = lws_snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    out.append(size.data(), static_cast<size_t>(n));
+    out.append(bytes).append("\r\n");
+  }
+  if (last)
+    out.append("0\r\n\r\n");
+  return out;
+}
+
+} // namespace
+
+const FrontHttp::Row FrontHttp::Rows[] = {
+    {LWS_CALLBACK_HTTP, &FrontHttp::onRequest},
+    {LWS_CALLBACK_HTTP_BODY, &FrontHttp::onBody},
+    {LWS_CALLBACK_HTTP_BODY_COMPLETION, &FrontHttp::onBodyWhole},
+    {LWS_CALLBACK_HTTP_WRITEABLE, &FrontHttp::onWritable},
+    {LWS_CALLBACK_CLOSED_HTTP, &FrontHttp::onClosed},
+};
+
+FrontHttp::FrontHttp(lws_context *context, const Settings &settings,
+                     ExchangeTable &exchanges, BackHttp &back, EventSink &sink)
+    : Context(context), Config(settings), Exchanges(exchanges), Back(back),
+      Sink(sink) {}
+
+bool FrontHttp::open() {
+  const DaemonSettings &daemon = Config.Daemon;
+  lws_context_creation_info info{};
+  info.vhost_name = "callers";
+  info.iface = daemon.ListenAddress.c_str();
+  info.port = static_cast<int>(daemon.ListenPort);
+  info.protocols = FrontProtocols;
+  info.user = this;
+  info.keepalive_timeout = 60;
+  info.timeout_secs = static_cast<unsigned>(
+      std::chrono::ceil<std::chrono::seconds>(Config.Bounds.CallerIdle)
+          .count());
+  info.options = LWS_SERVER_OPTION_H2_JUST_FIX_WINDOW_UPDATE_OVERFLOW |
+                 LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+  if (!daemon.TlsCertificate.empty()) {
+    info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    info.ssl_cert_filepath = daemon.TlsCertificate.c_str();
+    info.ssl_private_key_filepath = daemon.TlsKey.c_str();
+  }
+  return lws_create_vhost(Context, &info) != nullptr;
+}
+
+int FrontHttp::callback(lws *wsi, lws_callback_reasons reason, void *user,
+                        void *in, size_t len) {
+  lws_vhost *vhost = wsi ? lws_get_vhost(wsi) : nullptr;
+  auto *self =
+      vhost ? static_cast<FrontHttp *>(lws_get_vhost_user(vhost)) : nullptr;
+  for (const Row &row : Rows)
+    if (self && row.Reason == reason)
+      return (self->*row.Handle)(wsi, {static_cast<const char *>(in), len});
+  return lws_callback_http_dummy(wsi, reason, user, in, len);
+}
+
+Exchange *FrontHttp::exchangeOf(lws *wsi) {
+  return Exchanges.find(unpackHandle(lws_get_opaque_user_data(wsi)));
+}
+
+void FrontHttp::wantWrite(Exchange &exchange) {
+  if (exchange.Caller)
+    lws_callback_on_writable(exchange.Caller);
+}
+
+int FrontHttp::onRequest(lws *wsi, std::string_view path) {
+  if (path.starts_with(HealthPrefix))
+    return answerHealth(wsi, path);
+  Exchange &exchange = Exchanges.open();
+  exchange.Caller = wsi;
+  lws_set_opaque_user_data(wsi, packHandle(exchange.Handle));
+  RequestArrived event;
+  if (auto fault = parseRequest(wsi, path, Config.Bounds, exchange, event))
+    return refuseEarly(wsi, exchange, *fault);
+  if (Exchanges.openCount() > Config.Bounds.Requests)
+    return refuseEarly(wsi, exchange, RefusalKind::Overloaded);
+  Sink.post(event);
+  return 0;
+}
+
+int FrontHttp::refuseEarly(lws *, Exchange &exchange, RefusalKind kind) {
+  exchange.Stage = AnswerStage::Refusal;
+  exchange.Refusal = kind;
+  wantWrite(exchange);
+  return 0;
+}
+
+int FrontHttp::answerHealth(lws *wsi, std::string_view path) {
+  uint32_t status = HTTP_STATUS_NOT_FOUND;
+  for (const HealthRow &row : HealthRows) {
+    if (row.Path != path)
+      continue;
+    bool good = std::find(std::begin(row.Good), std::end(row.Good), Serving) !=
+                std::end(row.Good);
+    status = good ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE;
+  }
+  std::string_view text = StateNames[static_cast<size_t>(Serving)];
+  HeadWriter head(wsi);
+  bool sent = head.status(status) &&
+              head.field("content-type:", "text/plain") &&
+              head.length(text.size()) && head.send() &&
+              sendBody(wsi, text, LWS_WRITE_HTTP_FINAL);
+  return !sent || lws_http_transaction_completed(wsi) ? -1 : 0;
+}
+
+int FrontHttp::onBody(lws *wsi, std::string_view bytes) {
+  Exchange *exchange = exchangeOf(wsi);
+  if (!exchange || exchange->Stage == AnswerStage::Refusal)
+    return 0;
+  exchange->Body.append(bytes);
+  if (exchange->Body.size() > BodyBufferBytes && !exchange->BodyPaused) {
+    exchange->BodyPaused = true;
+    lws_rx_flow_control(wsi, 0);
+  }
+  Back.bodyGrew(*exchange);
+  return 0;
+}
+
+int FrontHttp::onBodyWhole(lws *, std::string_view) { return 0; }
+
+void FrontHttp::bodyDrained(Exchange &exchange) {
+  bool resume = exchange.BodyPaused && exchange.Caller &&
+                exchange.Body.size() <= BodyBufferBytes / 2;
+  if (!resume)
+    return;
+  exchange.BodyPaused = false;
+  lws_rx_flow_control(exchange.Caller, 1);
+}
+
+int FrontHttp::onClosed(lws *wsi, std::string_view) {
+  Exchange *exchange = exchangeOf(wsi);
+  if (!exchange)
+    return 0;
+  lws_set_opaque_user_data(wsi, nullptr);
+  exchange->Caller = nullptr;
+  Sink.post(CallerGone{exchange->Handle});
+  Back.release(*exchange);
+  Exchanges.close(*exchange);
+  return 0;
+}
+
+void FrontHttp::relay(const RelayAnswer &effect) {
+  Exchange *exchange = Exchanges.find(effect.Attempt.Request);
+  if (!exchange)
+    return;
+  exchange->Source = exchange->call(effect.Attempt);
+  exchange->Stage = AnswerStage::Head;
+  wantWrite(*exchange);
+}
+
+void FrontHttp::finish(const FinishAnswer &effect) {
+  if (Exchange *exchange = Exchanges.find(effect.Request)) {
+    exchange->AnswerWhole = true;
+    wantWrite(*exchange);
+  }
+}
+
+void FrontHttp::abort(const AbortAnswer &effect) {
+  if (Exchange *exchange = Exchanges.find(effect.Request)) {
+    exchange->Stage = AnswerStage::Broken;
+    wantWrite(*exchange);
+  }
+}
+
+void FrontHttp::refuse(const RefuseRequest &effect) {
+  Exchange *exchange = Exchanges.find(effect.Request);
+  if (!exchange)
+    return;
+  exchange->Refusal = effect.Kind;
+  exchange->RetryAfterSeconds = static_cast<uint32_t>(
+      std::chrono::ceil<std::chrono::seconds>(effect.RetryAfter).count());
+  exchange->Stage = AnswerStage::Refusal;
+  wantWrite(*exchange);
+}
+
+void FrontHttp::answerGrew(Exchange &exchange) {
+  if (exchange.Stage == AnswerStage::Body)
+    wantWrite(exchange);
+}
+
+int FrontHttp::onWritable(lws *wsi, std::string_view) {
+  Exchange *exchange = exchangeOf(wsi);
+  if (!exchange)
+    return 0;
+  switch (exchange->Stage) {
+  case AnswerStage::Waiting:
+    return 0;
+  case AnswerStage::Head:
+    return writeHead(*exchange);
+  case AnswerStage::Body:
+    return writeBody(*exchange);
+  case AnswerStage::Broken:
+    return -1;
+  case AnswerStage::Refusal:
+    return writeRefusal(*exchange);
+  }
+  return 0;
+}
+
+int FrontHttp::writeHead(Exchange &exchange) {
+  const AnswerHead &answer = exchange.Source->Head;
+  lws *wsi = exchange.Caller;
+  HeadWriter head(wsi);
+  bool ok = head.status(answer.Status) && head.fields(answer.Fields);
+  bool bodyless =
+      exchange.Method == "HEAD" || answer.Status == 204 || answer.Status == 304;
+  exchange.AnswerChunked = !bodyless && !answer.Length && !isHttp2(wsi);
+  if (answer.Length)
+    ok = ok && head.length(*answer.Length);
+  if (exchange.AnswerChunked)
+    ok = ok && head.field("transfer-encoding:", "chunked");
+  if (!ok || !head.send())
+    return -1;
+  exchange.Stage = AnswerStage::Body;
+  if (!lws_send_pipe_choked(wsi))
+    return writeBody(exchange);
+  wantWrite(exchange);
+  return 0;
+}
+
+int FrontHttp::writeBody(Exchange &exchange) {
+  BackendCall &call = *exchange.Source;
+  std::string_view rest = call.Answer.unread();
+  std::string_view part = rest.substr(0, std::min(rest.size(), ChunkBytes));
+  bool last = exchange.AnswerWhole && part.size() == rest.size();
+  if (part.empty() && !last)
+    return 0;
+  lws_write_protocol mode = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
+  bool sent = exchange.AnswerChunked
+                  ? sendBody(exchange.Caller, frameChunk(part, last), mode)
+                  : sendBody(exchange.Caller, part, mode);
+  if (!sent)
+    return -1;
+  call.Answer.consume(part.size());
+  if (last)
+    return endTransaction(exchange, true);
+  Back.resume(call);
+  if (!call.Answer.unread().empty() || exchange.AnswerWhole)
+    wantWrite(exchange);
+  return 0;
+}
+
+int FrontHttp::writeRefusal(Exchange &exchange) {
+  uint32_t status = refusalStatus(exchange.Refusal);
+  std::string text = problemDocument(exchange.Refusal, exchange.Handle);
+  logLine(status >= FirstErrorStatus ? LogLevel::Warning : LogLevel::Info,
+          "request-refused",
+          {{"request", requestId(exchange.Handle)},
+           {"refusal", refusalSpec(exchange.Refusal).Name}});
+  bool bodyUnread = exchange.receivedBytes() < exchange.BodyBytes;
+  HeadWriter head(exchange.Caller);
+  bool ok = head.status(status) &&
+            head.field("content-type:", "application/problem+json") &&
+            head.length(text.size());
+  if (exchange.RetryAfterSeconds > 0)
+    ok = ok &&
+         head.field("retry-after:", std::to_string(exchange.RetryAfterSeconds));
+  std::string_view body = text;
+  if (exchange.Method == "HEAD")
+    body = {};
+  ok = ok && head.send() &&
+       sendBody(exchange.Caller, body, LWS_WRITE_HTTP_FINAL);
+  if (!ok)
+    return -1;
+  return endTransaction(exchange, !bodyUnread);
+}
+
+int FrontHttp::endTransaction(Exchange &exchange, bool reuse) {
+  lws *wsi = exchange.Caller;
+  lws_set_opaque_user_data(wsi, nullptr);
+  Back.release(exchange);
+  Exchanges.close(exchange);
+  if (!reuse || lws_http_transaction_completed(wsi))
+    return -1;
+  return 0;
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/src/front_http.h
@@ -0,0 +1,79 @@
+/// \file
+/// Callers' side: the HTTP library's server.
+#ifndef GUAVASAIL_SRC_FRONT_HTTP_H
+#define GUAVASAIL_SRC_FRONT_HTTP_H
+
+#include "back_http.h"
+#include "event_sink.h"
+#include "exchange.h"
+#include "guavasail/effect.h"
+#include "guavasail/limits.h"
+#include "guavasail/settings.h"
+
+#include <libwebsockets.h>
+#include <string_view>
+
+namespace guavasail {
+
+/// What the balancer in front of the VMs is told.
+enum class ServingState : uint8_t { Starting, Ready, Draining };
+
+/// Reads callers' requests and writes their answers.
+class FrontHttp : public AnswerListener {
+public:
+  FrontHttp(lws_context *context, const Settings &settings,
+            ExchangeTable &exchanges, BackHttp &back, EventSink &sink);
+
+  /// Opens the listening socket.
+  /// \returns false if the address cannot be used.
+  bool open();
+
+  /// Sets what the health endpoints say.
+  void setServing(ServingState state) { Serving = state; }
+
+  void relay(const RelayAnswer &effect);
+  void finish(const FinishAnswer &effect);
+  void abort(const AbortAnswer &effect);
+  void refuse(const RefuseRequest &effect);
+
+  void answerGrew(Exchange &exchange) override;
+  void bodyDrained(Exchange &exchange) override;
+
+  /// Entry of the HTTP library.
+  static int callback(lws *wsi, lws_callback_reasons reason, void *user,
+                      void *in, size_t len);
+
+private:
+  using Handler = int (FrontHttp::*)(lws *wsi, std::string_view in);
+  struct Row {
+    lws_callback_reasons Reason;
+    Handler Handle;
+  };
+  static const Row Rows[];
+
+  int onRequest(lws *wsi, std::string_view path);
+  int onBody(lws *wsi, std::string_view bytes);
+  int onBodyWhole(lws *wsi, std::string_view);
+  int onWritable(lws *wsi, std::string_view);
+  int onClosed(lws *wsi, std::string_view);
+
+  int answerHealth(lws *wsi, std::string_view path);
+  int refuseEarly(lws *wsi, Exchange &exchange, RefusalKind kind);
+  int writeHead(Exchange &exchange);
+  int writeBody(Exchange &exchange);
+  int writeRefusal(Exchange &exchange);
+  int endTransaction(Exchange &exchange, bool reuse);
+  Exchange *exchangeOf(lws *wsi);
+  void wantWrite(Exchange &exchange);
+
+  lws_context *Context;
+  const Settings &Config;
+  ExchangeTable &Exchanges;
+  BackHttp &Back;
+  EventSink &Sink;
+  ServingState Serving = ServingState::Starting;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/http_headers.cpp
@@ -0,0 +1,132 @@
+#include "http_headers.h"
+
+#include <array>
+#include <libwebsockets.h>
+
+namespace guavasail {
+
+namespace {
+
+// Hop-by-hop headers, keys and headers that the HTTP library writes itself
+// are not in these lists.
+constexpr auto RequestTokens =
+    std::to_array<lws_token_indexes>({WSI_TOKEN_HTTP_ACCEPT,
+                                      WSI_TOKEN_HTTP_IF_MODIFIED_SINCE,
+                                      WSI_TOKEN_HTTP_IF_NONE_MATCH,
+                                      WSI_TOKEN_HTTP_ACCEPT_ENCODING,
+                                      WSI_TOKEN_HTTP_ACCEPT_LANGUAGE,
+                                      WSI_TOKEN_HTTP_COOKIE,
+                                      WSI_TOKEN_HTTP_CONTENT_TYPE,
+                                      WSI_TOKEN_HTTP_DATE,
+                                      WSI_TOKEN_HTTP_RANGE,
+                                      WSI_TOKEN_HTTP_REFERER,
+                                      WSI_TOKEN_HTTP_ACCEPT_CHARSET,
+                                      WSI_TOKEN_HTTP_CONTENT_DISPOSITION,
+                                      WSI_TOKEN_HTTP_CONTENT_ENCODING,
+                                      WSI_TOKEN_HTTP_CONTENT_LANGUAGE,
+                                      WSI_TOKEN_HTTP_FROM,
+                                      WSI_TOKEN_HTTP_IF_MATCH,
+                                      WSI_TOKEN_HTTP_IF_RANGE,
+                                      WSI_TOKEN_HTTP_IF_UNMODIFIED_SINCE,
+                                      WSI_TOKEN_HTTP_USER_AGENT,
+                                      WSI_TOKEN_ORIGIN});
+
+constexpr auto AnswerTokens = std::to_array<lws_token_indexes>(
+    {WSI_TOKEN_HTTP_CACHE_CONTROL,
+     WSI_TOKEN_HTTP_CONTENT_TYPE,
+     WSI_TOKEN_HTTP_DATE,
+     WSI_TOKEN_HTTP_ACCEPT_RANGES,
+     WSI_TOKEN_HTTP_ACCESS_CONTROL_ALLOW_ORIGIN,
+     WSI_TOKEN_HTTP_AGE,
+     WSI_TOKEN_HTTP_ALLOW,
+     WSI_TOKEN_HTTP_CONTENT_DISPOSITION,
+     WSI_TOKEN_HTTP_CONTENT_ENCODING,
+     WSI_TOKEN_HTTP_CONTENT_LANGUAGE,
+     WSI_TOKEN_HTTP_CONTENT_LOCATION,
+     WSI_TOKEN_HTTP_CONTENT_RANGE,
+     WSI_TOKEN_HTTP_ETAG,
+     WSI_TOKEN_HTTP_EXPIRES,
+     WSI_TOKEN_HTTP_LAST_MODIFIED,
+     WSI_TOKEN_HTTP_LINK,
+     WSI_TOKEN_HTTP_LOCATION,
+     WSI_TOKEN_HTTP_REFRESH,
+     WSI_TOKEN_HTTP_RETRY_AFTER,
+     WSI_TOKEN_HTTP_SET_COOKIE,
+     WSI_TOKEN_HTTP_VARY,
+     WSI_TOKEN_HTTP_WWW_AUTHENTICATE});
+
+constexpr auto RequestCustom = std::to_array<std::string_view>(
+    {IdempotencyHeader, "x-request-id:", "traceparent:", "tracestate:"});
+
+constexpr auto AnswerCustom =
+    std::to_array<std::string_view>({"x-request-id:", "x-content-digest:"});
+
+/// Appends every line of one header.
+void copyToken(lws *wsi, lws_token_indexes token,
+               std::vector<HeaderField> &fields) {
+  if (lws_hdr_total_length(wsi, token) <= 0)
+    return;
+  const auto *name = reinterpret_cast<const char *>(lws_token_to_string(token));
+  for (int n = 0;; ++n) {
+    int length = lws_hdr_fragment_length(wsi, token, n);
+    if (length <= 0)
+      return;
+    std::string value(static_cast<size_t>(length) + 1, '\0');
+    if (lws_hdr_copy_fragment(wsi, value.data(), length + 1, token, n) < 0)
+      return;
+    value.pop_back();
+    fields.push_back({name, std::move(value)});
+  }
+}
+
+std::vector<HeaderField> copyFields(lws *wsi,
+                                    std::span<const lws_token_indexes> tokens,
+                                    std::span<const std::string_view> custom) {
+  std::vector<HeaderField> fields;
+  for (lws_token_indexes token : tokens)
+    copyToken(wsi, token, fields);
+  for (std::string_view name : custom) {
+    std::string value = customHeader(wsi, name);
+    if (!value.empty())
+      fields.push_back({std::string(name), std::move(value)});
+  }
+  return fields;
+}
+
+} // namespace
+
+std::string customHeader(lws *wsi, std::string_view name) {
+  int n = static_cast<int>(name.size());
+  int length = lws_hdr_custom_length(wsi, name.data(), n);
+  if (length <= 0)
+    return {};
+  std::string value(static_cast<size_t>(length) + 1, '\0');
+  if (lws_hdr_custom_copy(wsi, value.data(), length + 1, name.data(), n) < 0)
+    return {};
+  value.pop_back();
+  return value;
+}
+
+std::vector<HeaderField> requestFields(lws *wsi) {
+  return copyFields(wsi, RequestTokens, RequestCustom);
+}
+
+std::vector<HeaderField> answerFields(lws *wsi) {
+  return copyFields(wsi, AnswerTokens, AnswerCustom);
+}
+
+bool writeFields(lws *wsi, std::span<const HeaderField> fields,
+                 unsigned char **at, unsigned char *end) {
+  for (const HeaderField &field : fields) {
+    const auto *name =
+        reinterpret_cast<const unsigned char *>(field.Name.c_str());
+    const auto *value =
+        reinterpret_cast<const unsigned char *>(field.Value.data());
+    if (lws_add_http_header_by_name(
+            wsi, name, value, static_cast<int>(field.Value.size()), at, end))
+      return false;
+  }
+  return true;
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/src/http_headers.h
@@ -0,0 +1,51 @@
+/// \file
+/// Which headers pass the proxy, and in what form.
+#ifndef GUAVASAIL_SRC_HTTP_HEADERS_H
+#define GUAVASAIL_SRC_HTTP_HEADERS_H
+
+#include "exchange.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct lws;
+
+namespace guavasail {
+
+/// Header by which a caller bounds the time of its request, and by which the
+/// time left is passed on. Whole milliseconds.
+inline constexpr std::string_view TimeoutHeader = "x-request-timeout-ms:";
+/// Header that names a non-idempotent request for safe repetition.
+inline constexpr std::string_view IdempotencyHeader = "idempotency-key:";
+/// Header with the caller's key, besides `Authorization: Bearer`.
+inline constexpr std::string_view KeyHeader = "x-api-key:";
+/// Query parameter with the caller's key.
+inline constexpr std::string_view KeyParameter = "api_key=";
+/// Header by which an instance reports its slots in use.
+inline constexpr std::string_view LoadHeader = "x-slots-in-use:";
+/// Header by which an instance says that it is leaving.
+inline constexpr std::string_view LeavingHeader = "x-leaving:";
+/// Header by which an instance says that it did not run the request.
+inline constexpr std::string_view NotRunHeader = "x-not-run:";
+
+/// \returns the value of the header \p name, which ends with a colon.
+std::string customHeader(lws *wsi, std::string_view name);
+
+/// Copies the end-to-end headers of a caller's request.
+std::vector<HeaderField> requestFields(lws *wsi);
+
+/// Copies the end-to-end headers of a backend server's answer.
+std::vector<HeaderField> answerFields(lws *wsi);
+
+/// Appends header lines to a head that is being written.
+/// \param at write position, advanced.
+/// \param end end of the room.
+/// \returns false if the room was too small.
+bool writeFields(lws *wsi, std::span<const HeaderField> fields,
+                 unsigned char **at, unsigned char *end);
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/instance_table.h
@@ -0,0 +1,66 @@
+/// \file
+/// What this VM knows about each instance while traffic runs.
+#ifndef GUAVASAIL_SRC_INSTANCE_TABLE_H
+#define GUAVASAIL_SRC_INSTANCE_TABLE_H
+
+#include "guavasail/event.h"
+#include "guavasail/handle.h"
+
+#include <bit>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace guavasail {
+
+/// Live state of one instance.
+struct InstanceState {
+  /// Lanes in use, one bit each.
+  uint64_t BusyLanes = 0;
+  /// The instance said that it is leaving.
+  bool Leaving = false;
+  /// Slots in use by the instance's own report.
+  uint32_t ReportedInUse = 0;
+
+  /// \returns this VM's requests in progress on the instance.
+  [[nodiscard]] uint32_t inFlight() const {
+    return static_cast<uint32_t>(std::popcount(BusyLanes));
+  }
+};
+
+/// Flat table of instance states.
+class InstanceTable {
+public:
+  /// Makes room for \p count instances.
+  void resize(size_t count) { Items.resize(count); }
+
+  InstanceState &at(InstanceHandle handle) { return Items[handle.Value]; }
+  [[nodiscard]] const InstanceState &at(InstanceHandle handle) const {
+    return Items[handle.Value];
+  }
+
+  /// \returns true if one of \p limit lanes is free.
+  [[nodiscard]] bool hasFreeLane(InstanceHandle handle, uint32_t limit) const {
+    return static_cast<uint32_t>(std::countr_one(at(handle).BusyLanes)) < limit;
+  }
+
+  /// Takes the lowest free lane, which has most likely an idle connection.
+  Lane takeLane(InstanceHandle handle) {
+    InstanceState &state = at(handle);
+    Lane lane{static_cast<uint32_t>(std::countr_one(state.BusyLanes))};
+    state.BusyLanes |= uint64_t{1} << lane.Value;
+    return lane;
+  }
+
+  /// Gives a lane back.
+  void releaseLane(InstanceHandle handle, Lane lane) {
+    at(handle).BusyLanes &= ~(uint64_t{1} << lane.Value);
+  }
+
+private:
+  std::vector<InstanceState> Items;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/src/reducer.cpp
@@ -0,0 +1,81 @@
+#include "guavasail/reducer.h"
+
+#include "reducer_state.h"
+
+#include <array>
+#include <variant>
+
+namespace guavasail {
+
+namespace {
+
+using Handler = void (*)(ReducerState &, const EventBody &, Step &);
+
+template <typename Body>
+using Member = void (ReducerState::*)(const Body &, Step &);
+
+/// Calls the member that handles events of type \p Body.
+template <typename Body, Member<Body> Handle>
+void call(ReducerState &state, const EventBody &body, Step &step) {
+  (state.*Handle)(*std::get_if<Body>(&body), step);
+}
+
+/// Handlers in the order of the alternatives of `EventBody`.
+constexpr std::array<Handler, std::variant_size_v<EventBody>> Handlers = {
+    &call<CatalogAccepted, &ReducerState::onCatalogAccepted>,
+    &call<RequestArrived, &ReducerState::onRequestArrived>,
+    &call<CallerGone, &ReducerState::onCallerGone>,
+    &call<AttemptAnswered, &ReducerState::onAttemptAnswered>,
+    &call<AttemptCompleted, &ReducerState::onAttemptCompleted>,
+    &call<AttemptFailed, &ReducerState::onAttemptFailed>,
+    &call<LaneFreed, &ReducerState::onLaneFreed>,
+    &call<PeerArrived, &ReducerState::onPeerArrived>,
+    &call<TimeAdvanced, &ReducerState::onTimeAdvanced>,
+    &call<DrainRequested, &ReducerState::onDrainRequested>,
+};
+
+} // namespace
+
+Reducer::Reducer(const ReducerInit &init)
+    : State(std::make_unique<ReducerState>(init)) {}
+
+Reducer::~Reducer() = default;
+
+void Reducer::reduce(const Event &event, EffectBuffer &effects) {
+  Step step{event.Now, effects};
+  Handlers[event.Body.index()](*State, event.Body, step);
+}
+
+Instant Reducer::nextWake() const { return State->Timers.nextDue(); }
+
+ReducerState::ReducerState(const ReducerInit &init)
+    : Bounds(init.Bounds), Picker(init.Balance, init.Seed),
+      Zone(Catalog.zone(init.Zone)) {}
+
+void ReducerState::onCatalogAccepted(const CatalogAccepted &event, Step &) {
+  Catalog.accept(*event.Catalog);
+  Instances.resize(Catalog.instances().size());
+  Ready = true;
+}
+
+void ReducerState::onDrainRequested(const DrainRequested &, Step &step) {
+  Draining = true;
+  if (Requests.open() == 0)
+    step.Effects.push(DrainCompleted{});
+}
+
+void ReducerState::onPeerArrived(const PeerArrived &event, Step &step) {
+  std::visit([&](const auto &body) { onPeer(event.From, body, step); },
+             event.Body);
+}
+
+void ReducerState::onPeer(VmHandle from, const Heartbeat &, Step &step) {
+  Members.hear(from, step.Now);
+}
+
+void ReducerState::onTimeAdvanced(const TimeAdvanced &, Step &step) {
+  while (Timers.nextDue() <= step.Now)
+    onDeadline(Timers.pop(), step);
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/src/reducer_attempt.cpp
@@ -0,0 +1,112 @@
+#include "reducer_state.h"
+
+namespace guavasail {
+
+namespace {
+
+constexpr uint32_t FirstServerErrorStatus = 500;
+
+/// \returns the refusal that states what is known after a failed attempt.
+RefusalKind refusalAfterFault(const Request &request, RefusalKind fallback) {
+  if (!request.MayHaveRun)
+    return fallback;
+  return request.Repeat == Repeatability::Idempotent
+             ? RefusalKind::AnswerIncomplete
+             : RefusalKind::OutcomeUnknown;
+}
+
+/// \returns true if sending the request again cannot run it twice.
+bool mayRepeat(const Request &request) {
+  bool safe =
+      request.Repeat == Repeatability::Idempotent || !request.MayHaveRun;
+  return safe && request.BodyReplayable;
+}
+
+} // namespace
+
+void ReducerState::startAttempt(Request &request, Step &step) {
+  InstanceHandle instance =
+      Picker.pick({Catalog, Instances, Catalog.at(request.Route).Service,
+                   request.Instance, Zone, Bounds.LanesPerInstance});
+  if (!instance.valid())
+    return refuse(request, refusalAfterFault(request, RefusalKind::NoInstance),
+                  step);
+  request.Instance = instance;
+  Lane lane = Instances.takeLane(instance);
+  request.Current = {request.Self, ++request.Attempts};
+  request.AttemptStarted = step.Now;
+  step.Effects.push(StartAttempt{request.Current, instance, lane,
+                                 request.Deadline - step.Now});
+}
+
+void ReducerState::onLaneFreed(const LaneFreed &event, Step &) {
+  Instances.releaseLane(event.Instance, event.Connection);
+}
+
+void ReducerState::onAttemptAnswered(const AttemptAnswered &event, Step &step) {
+  Request *request = Requests.findCurrent(event.Attempt);
+  if (!request)
+    return;
+  InstanceState &instance = Instances.at(request->Instance);
+  if (event.Load.Present) {
+    instance.ReportedInUse = event.Load.SlotsInUse;
+    instance.Leaving = event.Load.Leaving;
+  }
+  request->MayHaveRun |= !event.Shed;
+  bool failed = event.Shed || event.Status >= FirstServerErrorStatus;
+  bool again =
+      failed && mayRepeat(*request) && request->Attempts < Bounds.Attempts;
+  if (again) {
+    step.Effects.push(CancelAttempt{request->Current});
+    return startAttempt(*request, step);
+  }
+  request->Phase = RequestPhase::Relaying;
+  step.Effects.push(RelayAnswer{request->Current});
+}
+
+void ReducerState::onAttemptCompleted(const AttemptCompleted &event,
+                                      Step &step) {
+  Request *request = Requests.findCurrent(event.Attempt);
+  if (!request)
+    return;
+  step.Effects.push(FinishAnswer{request->Self});
+  closeRequest(*request, step);
+}
+
+void ReducerState::onAttemptFailed(const AttemptFailed &event, Step &step) {
+  Request *request = Requests.findCurrent(event.Attempt);
+  if (!request)
+    return;
+  request->MayHaveRun |= event.MayHaveRun;
+  if (request->Phase == RequestPhase::Relaying) {
+    step.Effects.push(AbortAnswer{request->Self});
+    return closeRequest(*request, step);
+  }
+  retryOrRefuse(*request, RefusalKind::InstanceUnreachable, step);
+}
+
+void ReducerState::retryOrRefuse(Request &request, RefusalKind kind,
+                                 Step &step) {
+  if (mayRepeat(request) && request.Attempts < Bounds.Attempts)
+    return startAttempt(request, step);
+  refuse(request, refusalAfterFault(request, kind), step);
+}
+
+void ReducerState::onDeadline(const Timer &timer, Step &step) {
+  Request *request = Requests.find(timer.Attempt.Request);
+  if (!request)
+    return;
+  step.Effects.push(CancelAttempt{request->Current});
+  if (request->Phase == RequestPhase::Relaying) {
+    step.Effects.push(AbortAnswer{request->Self});
+    return closeRequest(*request, step);
+  }
+  // A cancelled attempt may have reached the backend server.
+  bool idempotent = request->Repeat == Repeatability::Idempotent;
+  refuse(*request,
+         idempotent ? RefusalKind::DeadlineExceeded
+                    : RefusalKind::OutcomeUnknown,
+         step);
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/src/reducer_state.h
@@ -0,0 +1,70 @@
+/// \file
+/// State of the reducer and the handlers of its events.
+#ifndef GUAVASAIL_SRC_REDUCER_STATE_H
+#define GUAVASAIL_SRC_REDUCER_STATE_H
+
+#include "balancer.h"
+#include "catalog_index.h"
+#include "guavasail/effect.h"
+#include "guavasail/event.h"
+#include "guavasail/limits.h"
+#include "guavasail/reducer.h"
+#include "instance_table.h"
+#include "member_table.h"
+#include "request_table.h"
+#include "timer_heap.h"
+
+namespace guavasail {
+
+/// What a handler works with besides the state.
+struct Step {
+  Instant Now;
+  EffectBuffer &Effects;
+};
+
+/// All state of one daemon's decisions. Each event type has one handler.
+struct ReducerState {
+  explicit ReducerState(const ReducerInit &init);
+
+  // Catalog and life cycle (reducer.cpp).
+  void onCatalogAccepted(const CatalogAccepted &event, Step &step);
+  void onDrainRequested(const DrainRequested &event, Step &step);
+  void onTimeAdvanced(const TimeAdvanced &event, Step &step);
+
+  // Callers (reducer_request.cpp).
+  void onRequestArrived(const RequestArrived &event, Step &step);
+  void onCallerGone(const CallerGone &event, Step &step);
+
+  // Backend servers (reducer_attempt.cpp).
+  void onAttemptAnswered(const AttemptAnswered &event, Step &step);
+  void onAttemptCompleted(const AttemptCompleted &event, Step &step);
+  void onAttemptFailed(const AttemptFailed &event, Step &step);
+  void onLaneFreed(const LaneFreed &event, Step &step);
+
+  // Other daemons. One overload for each kind of message.
+  void onPeerArrived(const PeerArrived &event, Step &step);
+  void onPeer(VmHandle from, const Heartbeat &message, Step &step);
+
+  // Steps shared by handlers.
+  void startAttempt(Request &request, Step &step);
+  void retryOrRefuse(Request &request, RefusalKind kind, Step &step);
+  void refuse(Request &request, RefusalKind kind, Step &step,
+              Duration retryAfter = {});
+  void closeRequest(Request &request, Step &step);
+  void onDeadline(const Timer &timer, Step &step);
+
+  Limits Bounds;
+  CatalogIndex Catalog;
+  InstanceTable Instances;
+  MemberTable Members;
+  RequestTable Requests;
+  TimerHeap Timers;
+  Balancer Picker;
+  ZoneHandle Zone;
+  bool Ready = false;
+  bool Draining = false;
+};
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/tests/session.cpp
@@ -0,0 +1,270 @@
+#include "session.h"
+
+#include <array>
+#include <functional>
+#include <sstream>
+#include <stdexcept>
+#include <vector>
+
+namespace guavasail {
+
+namespace {
+
+using Words = std::vector<std::string>;
+
+constexpr uint64_t SessionSeed = 7;
+
+/// Instants of a script start here, so that none is zero.
+constexpr Instant SessionStart{std::chrono::seconds(1000)};
+
+std::string attemptText(AttemptHandle attempt) {
+  return std::to_string(attempt.Request.Index) + "." +
+         std::to_string(attempt.Ordinal);
+}
+
+std::string millisText(Duration duration) {
+  return std::to_string(duration.count() / 1000) + "ms";
+}
+
+struct EffectPrinter {
+  std::string operator()(const StartAttempt &it) const {
+    return "start " + attemptText(it.Attempt) + " instance " +
+           std::to_string(it.Instance.Value) + " lane " +
+           std::to_string(it.Connection.Value) + " remaining " +
+           millisText(it.Remaining);
+  }
+  std::string operator()(const CancelAttempt &it) const {
+    return "cancel " + attemptText(it.Attempt);
+  }
+  std::string operator()(const RelayAnswer &it) const {
+    return "relay " + attemptText(it.Attempt);
+  }
+  std::string operator()(const FinishAnswer &it) const {
+    return "finish " + std::to_string(it.Request.Index);
+  }
+  std::string operator()(const AbortAnswer &it) const {
+    return "abort " + std::to_string(it.Request.Index);
+  }
+  std::string operator()(const RefuseRequest &it) const {
+    const RefusalSpec &spec = refusalSpec(it.Kind);
+    return "refuse " + std::to_string(it.Request.Index) + " " +
+           std::string(spec.Name) + " " + std::string(runStateName(spec.Run));
+  }
+  std::string operator()(const SendPeer &it) const {
+    return "send " + std::to_string(it.To.Value);
+  }
+  std::string operator()(const DrainCompleted &) const {
+    return "drain completed";
+  }
+};
+
+/// Parses input lines and feeds them to a reducer.
+class SessionRunner {
+public:
+  SessionRunner() : Decisions(sessionInit()) {}
+
+  std::string run(std::string_view script) {
+    std::istringstream lines{std::string(script)};
+    std::string line;
+    while (std::getline(lines, line)) {
+      if (line.starts_with("#"))
+        Out += line + "\n";
+      if (line.starts_with("> "))
+        input(line);
+    }
+    return Out;
+  }
+
+private:
+  using Parse = EventBody (SessionRunner::*)(const Words &words);
+  struct Row {
+    std::string_view Name;
+    Parse Make;
+  };
+  static std::span<const Row> rows();
+
+  static ReducerInit sessionInit() {
+    ReducerInit init;
+    init.Zone = "cabo-vela";
+    init.Balance = BalanceKind::RoundRobin;
+    init.Seed = SessionSeed;
+    return init;
+  }
+
+  void input(const std::string &line) {
+    Out += line + "\n";
+    std::istringstream in(line.substr(2));
+    Words words;
+    std::string word;
+    while (in >> word)
+      words.push_back(word);
+    Now += std::chrono::milliseconds(std::stoll(words.at(0)));
+    words.erase(words.begin());
+    for (const Row &row : rows()) {
+      if (row.Name != words.at(0))
+        continue;
+      EventBody body = (this->*row.Make)(words);
+      Effects.clear();
+      Decisions.reduce({Now, body}, Effects);
+      for (const Effect &effect : Effects.items())
+        Out += effectText(effect) + "\n";
+      return;
+    }
+    throw std::invalid_argument("unknown input: " + line);
+  }
+
+  static RequestHandle handle(const std::string &word) {
+    return {static_cast<uint32_t>(std::stoul(word)), 1};
+  }
+
+  static AttemptHandle attempt(const std::string &word) {
+    size_t dot = word.find('.');
+    return {handle(word.substr(0, dot)),
+            static_cast<uint32_t>(std::stoul(word.substr(dot + 1)))};
+  }
+
+  EventBody catalog(const Words &) {
+    Catalog = sampleCatalog();
+    return CatalogAccepted{&Catalog};
+  }
+
+  /// request INDEX METHOD PATH [key NAME] [body BYTES] [allow MS]
+  EventBody request(const Words &words) {
+    RequestArrived event;
+    event.Request = handle(words.at(1));
+    event.Repeat = words.at(2) == "GET" ? Repeatability::Idempotent
+                                        : Repeatability::AtMostOnce;
+    Path = words.at(3);
+    event.Path = Path;
+    for (size_t n = 4; n + 1 < words.size(); n += 2) {
+      if (words[n] == "key")
+        event.Key = sampleDigest(words[n + 1]);
+      if (words[n] == "body")
+        event.BodyBytes = std::stoull(words[n + 1]);
+      if (words[n] == "allow")
+        event.Allowed = std::chrono::milliseconds(std::stoll(words[n + 1]));
+    }
+    return event;
+  }
+
+  EventBody gone(const Words &words) { return CallerGone{handle(words.at(1))}; }
+
+  /// answered ATTEMPT STATUS [shed]
+  EventBody answered(const Words &words) {
+    AttemptAnswered event;
+    event.Attempt = attempt(words.at(1));
+    event.Status = static_cast<uint32_t>(std::stoul(words.at(2)));
+    event.Shed = words.size() > 3 && words[3] == "shed";
+    return event;
+  }
+
+  EventBody completed(const Words &words) {
+    return AttemptCompleted{attempt(words.at(1))};
+  }
+
+  /// failed ATTEMPT connect|reset|truncated
+  EventBody failed(const Words &words) {
+    const std::string &what = words.at(2);
+    if (what == "connect")
+      return AttemptFailed{attempt(words.at(1)), AttemptFault::ConnectFailed,
+                           false};
+    AttemptFault fault =
+        what == "reset" ? AttemptFault::Reset : AttemptFault::Truncated;
+    return AttemptFailed{attempt(words.at(1)), fault, true};
+  }
+
+  /// freed INSTANCE LANE
+  EventBody freed(const Words &words) {
+    return LaneFreed{{static_cast<uint32_t>(std::stoul(words.at(1)))},
+                     {static_cast<uint32_t>(std::stoul(words.at(2)))}};
+  }
+
+  EventBody tick(const Words &) { return TimeAdvanced{}; }
+  EventBody drain(const Words &) { return DrainRequested{}; }
+
+  Reducer Decisions;
+  EffectBuffer Effects;
+  CatalogSpec Catalog;
+  std::string Path;
+  std::string Out;
+  Instant Now = SessionStart;
+};
+
+std::span<const SessionRunner::Row> SessionRunner::rows() {
+  static constexpr Row Rows[] = {
+      {"catalog", &SessionRunner::catalog},
+      {"request", &SessionRunner::request},
+      {"gone", &SessionRunner::gone},
+      {"answered", &SessionRunner::answered},
+      {"completed", &SessionRunner::completed},
+      {"failed", &SessionRunner::failed},
+      {"freed", &SessionRunner::freed},
+      {"tick", &SessionRunner::tick},
+      {"drain", &SessionRunner::drain},
+  };
+  return Rows;
+}
+
+ServiceSpec sampleService(std::string name, uint32_t count) {
+  static constexpr auto Zones =
+      std::to_array<std::string_view>({"cabo-vela", "riohacha"});
+  ServiceSpec service;
+  service.Name = std::move(name);
+  for (uint32_t n = 0; n < count; ++n) {
+    InstanceSpec instance;
+    instance.Name = "i" + std::to_string(n);
+    instance.Address = "127.0.0.1";
+    instance.Port = 9000 + n;
+    instance.Zone = Zones[n % Zones.size()];
+    service.Instances.push_back(std::move(instance));
+  }
+  return service;
+}
+
+WorkspaceSpec sampleWorkspace(std::string name) {
+  WorkspaceSpec workspace;
+  workspace.Keys.push_back({"k1", sampleDigest(name)});
+  workspace.Name = std::move(name);
+  return workspace;
+}
+
+RouteSpec sampleRoute(std::string name, std::string service) {
+  RouteSpec route;
+  route.Prefix = "/" + name;
+  route.Name = std::move(name);
+  route.Service = std::move(service);
+  route.Timeout = std::chrono::seconds(2);
+  return route;
+}
+
+} // namespace
+
+Digest sampleDigest(std::string_view name) {
+  Digest digest;
+  for (size_t n = 0; n < digest.Bytes.size() && n < name.size(); ++n)
+    digest.Bytes[n] = static_cast<uint8_t>(name[n]);
+  return digest;
+}
+
+CatalogSpec sampleCatalog() {
+  CatalogSpec catalog;
+  catalog.Version = 1;
+  catalog.Services.push_back(sampleService("wind", 3));
+  catalog.Services.push_back(sampleService("notices", 2));
+  catalog.Workspaces.push_back(sampleWorkspace("school"));
+  catalog.Workspaces.push_back(sampleWorkspace("harbour"));
+  catalog.Routes.push_back(sampleRoute("wind", "wind"));
+  catalog.Routes.push_back(sampleRoute("notices", "notices"));
+  catalog.Routes.back().Workspaces = {"harbour"};
+  return catalog;
+}
+
+std::string effectText(const Effect &effect) {
+  return std::visit(EffectPrinter{}, effect);
+}
+
+std::string runSession(std::string_view script) {
+  return SessionRunner().run(script);
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,73 @@
+#include "guavasail/settings.h"
+
+#include <gtest/gtest.h>
+
+namespace guavasail {
+
+namespace {
+
+constexpr std::string_view GoodDaemon = "[daemon]\nzone = \"z\"\n";
+
+struct SettingsCase {
+  std::string_view Name;
+  std::string_view Text;
+  SettingsFault Fault;
+  uint32_t Line;
+  std::string_view Key;
+};
+
+const SettingsCase Cases[] = {
+    {"Syntax", "x = = 1\n", SettingsFault::SyntaxInvalid, 3, ""},
+    {"UnknownSection", "[demon]\n", SettingsFault::KeyUnknown, 3, "demon"},
+    {"UnknownKey", "[limits]\nrequest = 1\n", SettingsFault::KeyUnknown, 4,
+     "limits.request"},
+    {"WrongType", "[limits]\nrequests = \"many\"\n", SettingsFault::TypeWrong,
+     4, "limits.requests"},
+    {"OutOfRange", "[limits]\nlanes_per_instance = 65\n",
+     SettingsFault::ValueOutOfRange, 4, "limits.lanes_per_instance"},
+    {"Negative", "[limits]\nattempts = -1\n", SettingsFault::ValueOutOfRange, 4,
+     "limits.attempts"},
+    {"MissingName", "[[service]]\n", SettingsFault::KeyMissing, 3,
+     "service.name"},
+    {"RepeatedName", "[[service]]\nname = \"a\"\n[[service]]\nname = \"a\"\n",
+     SettingsFault::NameRepeated, 5, "service.name"},
+    {"UnknownService",
+     "[[route]]\nname = \"r\"\nprefix = \"/r\"\nservice = \"none\"\n",
+     SettingsFault::ReferenceUnknown, 3, "route.service"},
+    {"BadDigest",
+     "[[workspace]]\nname = \"w\"\n[[workspace.key]]\nid = \"k\"\n"
+     "digest = \"zz\"\n",
+     SettingsFault::TypeWrong, 7, "workspace.key.digest"},
+};
+
+void PrintTo(const SettingsCase &row, std::ostream *out) { *out << row.Name; }
+
+class BadSettings : public testing::TestWithParam<SettingsCase> {};
+
+TEST_P(BadSettings, NamesThePlace) {
+  const SettingsCase &row = GetParam();
+  auto result =
+      parseSettings(std::string(GoodDaemon) + std::string(row.Text), "f.toml");
+  ASSERT_FALSE(result);
+  const SettingsFailure &failure = result.error().Items.front();
+  EXPECT_EQ(failure.Fault, row.Fault) << describe(failure);
+  EXPECT_EQ(failure.File, "f.toml");
+  EXPECT_EQ(failure.Line, row.Line) << describe(failure);
+  EXPECT_EQ(failure.Key, row.Key);
+  EXPECT_FALSE(failure.Expected.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, BadSettings, testing::ValuesIn(Cases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+TEST(Settings, ListsEveryFault) {
+  auto result = parseSettings("[daemon]\nname = 1\nlisten_port = 0\n", "f");
+  ASSERT_FALSE(result);
+  EXPECT_EQ(result.error().Items.size(), 3u);
+}
+
+} // namespace
+
+} // namespace guavasail
