Reuse connections to backend servers

Cause: after a whole answer the read callback returned -1, since the call was already detached, and the library closed the connection. Every request opened a new one. The virtual hosts' names were also kept by pointer after the strings had gone. Change: the callback says -1 only for a cancelled call; names are owned.

--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -77,7 +77,9 @@
 lws_vhost *BackHttp::lane(Lane lane) {
   while (Lanes.size() <= lane.Value) {
     lws_context_creation_info info{};
-    std::string name = "lane-" + std::to_string(Lanes.size());
+    // The library keeps a pointer to the name.
+    const std::string &name =
+        LaneNames.emplace_back("lane-" + std::to_string(Lanes.size()));
     info.vhost_name = name.c_str();
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.protocols = LaneProtocols;
@@ -253,12 +255,15 @@
 }
 
 int BackHttp::onReceive(LaneUse &use, lws *wsi, void *, size_t) {
+  if (!use.Call)
+    return -1;
   std::array<char, LWS_PRE + ReadChunkBytes> buf;
   char *at = buf.data() + LWS_PRE;
   int n = ReadChunkBytes;
   if (lws_http_client_read(wsi, &at, &n) < 0)
     return -1;
-  return use.Call ? 0 : -1;
+  // A completed answer leaves the connection open for the next request.
+  return use.Call || use.Finished ? 0 : -1;
 }
 
 int BackHttp::onReceiveBytes(LaneUse &use, lws *wsi, void *in, size_t len) {
--- a/src/back_http.h
+++ b/src/back_http.h
@@ -9,6 +9,7 @@
 #include "guavasail/effect.h"
 #include "guavasail/limits.h"
 
+#include <deque>
 #include <libwebsockets.h>
 #include <string>
 #include <vector>
@@ -86,6 +87,8 @@
   EventSink &Sink;
   AnswerListener *Listener = nullptr;
   std::vector<lws_vhost *> Lanes;
+  /// A deque, so that the names stay in place.
+  std::deque<std::string> LaneNames;
 };
 
 } // namespace guavasail
