--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -191,10 +191,12 @@
   unsigned char *end = *at + len;
   if (!writeFields(wsi, exchange->Fields, at, end))
     return -1;
+  // An empty body is declared too, or the instance would wait for one.
+  if (exchange->MayHaveBody &&
+      lws_add_http_header_content_length(wsi, exchange->BodyBytes, at, end))
+    return -1;
   if (exchange->BodyBytes == 0)
     return 0;
-  if (lws_add_http_header_content_length(wsi, exchange->BodyBytes, at, end))
-    return -1;
   lws_client_http_body_pending(wsi, 1);
   lws_callback_on_writable(wsi);
   return 0;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -125,6 +125,8 @@
       execute(effect);
   }
   Exchanges.recycle();
+  if (Drained && Exchanges.openCount() == 0)
+    stopLoop();
   armTimer();
 }
 
@@ -157,11 +159,14 @@
 void Daemon::on(const RefuseRequest &effect) { Front->refuse(effect); }
 void Daemon::on(const SendPeer &) {}
 void Daemon::on(const DrainCompleted &) {
-  logLine(LogLevel::Info, "drain-completed", {});
-  stopLoop();
+  // Answers may still be on their way to callers.
+  Drained = true;
 }
 
-void Daemon::stopLoop() { uv_stop(&Loop); }
+void Daemon::stopLoop() {
+  logLine(LogLevel::Info, "drain-completed", {});
+  uv_stop(&Loop);
+}
 
 void Daemon::onTimer(uv_timer_t *timer) {
   Daemon *self = ownerOf(timer);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -73,6 +73,8 @@
   std::unique_ptr<BackHttp> Back;
   std::unique_ptr<FrontHttp> Front;
   Instant Armed = NeverInstant;
+  /// The decisions have nothing in progress and take no new request.
+  bool Drained = false;
 };
 
 } // namespace guavasail
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -91,6 +91,8 @@
   std::string Host;
   std::vector<HeaderField> Fields;
   uint64_t BodyBytes = 0;
+  /// The method allows a body, or the caller sent one.
+  bool MayHaveBody = false;
   /// Received part of the body, from byte `BodyBase` on.
   std::string Body;
   uint64_t BodyBase = 0;
--- a/src/http_request.cpp
+++ b/src/http_request.cpp
@@ -157,6 +157,7 @@
   exchange.Fields = requestFields(wsi);
   if (auto fault = parseLength(wsi, *method, bounds, exchange))
     return fault;
+  exchange.MayHaveBody = method->MayHaveBody || exchange.BodyBytes > 0;
   event.Request = exchange.Handle;
   event.Path = exchange.Path;
   event.Repeat = method->Repeat;
--- a/tools/load_caller.cpp
+++ b/tools/load_caller.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <libwebsockets.h>
@@ -23,6 +24,10 @@
 DEFINE_uint64(expect_bytes, 64, "body length of a good answer");
 DEFINE_uint32(interval_us, 0, "least time between two starts on a connection");
 DEFINE_uint32(max_seconds, 60, "stop after this time");
+DEFINE_bool(number, false, "add a name of its own to each request (?n=NAME)");
+DEFINE_string(outcomes, "", "file that gets a line NAME OUTCOME a request");
+DEFINE_string(alpn, "http/1.1", "protocols to offer, such as h2");
+DEFINE_bool(tls, false, "call over TLS and accept any certificate");
 
 namespace {
 
@@ -38,6 +43,11 @@
   uint32_t Status = 0;
   bool BodyGood = true;
   bool Pending = false;
+  /// Name of the request, and its path with the name.
+  std::string Name;
+  std::string Path;
+  /// Body of a refusal.
+  std::string Problem;
 };
 
 /// What the run counted.
@@ -50,7 +60,22 @@
   std::vector<uint32_t> LatencyUs;
 };
 
+/// The member of the totals that an outcome counts in.
+struct OutcomeRow {
+  std::string_view Name;
+  uint64_t Totals::*Member;
+};
+
+constexpr auto Outcomes = std::to_array<OutcomeRow>({
+    {"whole", &Totals::Whole},
+    {"refused", &Totals::Refused},
+    {"not-run", &Totals::Refused},
+    {"broken", &Totals::Broken},
+    {"wrong", &Totals::Wrong},
+});
+
 lws_context *Context = nullptr;
+std::ofstream OutcomeFile;
 Totals Count;
 uint64_t Ended = 0;
 
@@ -65,6 +90,17 @@
                    std::max<uint32_t>(FLAGS_interval_us, 1));
 }
 
+/// \returns how the request ended, in one word.
+std::string_view outcome(const Caller &caller, bool whole) {
+  if (!whole)
+    return "broken";
+  if (caller.Status == HTTP_STATUS_OK)
+    return caller.Bytes == FLAGS_expect_bytes && caller.BodyGood ? "whole"
+                                                                 : "wrong";
+  bool notRun = caller.Problem.find("\"not-run\"") != std::string::npos;
+  return notRun ? "not-run" : "refused";
+}
+
 void record(Caller &caller, bool whole) {
   if (!caller.Pending)
     return;
@@ -72,17 +108,14 @@
   ++Ended;
   auto took = std::chrono::duration_cast<std::chrono::microseconds>(
       Clock::now() - caller.Started);
-  bool good = caller.Status == HTTP_STATUS_OK;
-  if (!whole)
-    ++Count.Broken;
-  else if (!good)
-    ++Count.Refused;
-  else if (caller.Bytes != FLAGS_expect_bytes || !caller.BodyGood)
-    ++Count.Wrong;
-  else {
-    ++Count.Whole;
+  std::string_view word = outcome(caller, whole);
+  for (const OutcomeRow &row : Outcomes)
+    if (row.Name == word)
+      ++(Count.*row.Member);
+  if (word == "whole")
     Count.LatencyUs.push_back(static_cast<uint32_t>(took.count()));
-  }
+  if (OutcomeFile.is_open())
+    OutcomeFile << caller.Name << " " << word << "\n";
   scheduleNext(caller);
 }
 
@@ -90,6 +123,11 @@
   if (Count.Started >= FLAGS_requests)
     return;
   ++Count.Started;
+  caller.Name = FLAGS_label + "-" + std::to_string(Count.Started);
+  caller.Path = FLAGS_path;
+  if (FLAGS_number)
+    caller.Path += "?n=" + caller.Name;
+  caller.Problem.clear();
   caller.Bytes = 0;
   caller.Status = 0;
   caller.BodyGood = true;
@@ -99,15 +137,18 @@
   info.context = Context;
   info.address = FLAGS_address.c_str();
   info.port = static_cast<int>(FLAGS_port);
-  info.path = FLAGS_path.c_str();
+  info.path = caller.Path.c_str();
   info.host = info.address;
   info.method = FLAGS_method.c_str();
-  info.alpn = "http/1.1";
+  info.alpn = FLAGS_alpn.c_str();
   info.protocol = "caller";
   info.local_protocol_name = "caller";
   info.vhost = caller.Vhost;
   info.keep_warm_secs = 30;
   info.ssl_connection = LCCSCF_PIPELINE;
+  if (FLAGS_tls)
+    info.ssl_connection |= LCCSCF_USE_SSL | LCCSCF_ALLOW_SELFSIGNED |
+                           LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
   info.opaque_user_data = &caller;
   if (!lws_client_connect_via_info(&info))
     record(caller, false);
@@ -132,6 +173,10 @@
 }
 
 void checkBytes(Caller &caller, std::string_view bytes) {
+  if (caller.Status != HTTP_STATUS_OK) {
+    caller.Problem += bytes;
+    return;
+  }
   for (char c : bytes)
     caller.BodyGood &= c == static_cast<char>('a' + caller.Bytes++ % 26);
 }
@@ -208,13 +253,17 @@
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.protocols = Protocols;
-  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+  info.options =
+      LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+  if (!FLAGS_outcomes.empty())
+    OutcomeFile.open(FLAGS_outcomes);
   Context = lws_create_context(&info);
   if (!Context)
     return 1;
   std::vector<Caller> callers(FLAGS_concurrency);
+  std::vector<std::string> names(FLAGS_concurrency);
   for (size_t n = 0; n < callers.size(); ++n) {
-    std::string name = "caller-" + std::to_string(n);
+    const std::string &name = names[n] = "caller-" + std::to_string(n);
     info.vhost_name = name.c_str();
     callers[n].Vhost = lws_create_vhost(Context, &info);
     scheduleNext(callers[n]);
--- a/tools/standin_backend.cpp
+++ b/tools/standin_backend.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Stand-in for a backend server: slots, load reports and gray faults that are
 /// switched while it runs.
+#include "run_book.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdint>
@@ -17,6 +19,8 @@
 DEFINE_uint32(queue, 64, "requests that wait for a slot before shedding");
 DEFINE_uint32(work_us, 0, "time a request takes, in microseconds");
 DEFINE_string(name, "backend", "name in answers");
+DEFINE_uint32(cold_ms, 0, "time after the start in which requests are slow");
+DEFINE_string(forbid, "", "text that must be in no request, such as a key");
 
 namespace {
 
@@ -24,12 +28,26 @@
 constexpr size_t ChunkBytes = 16 * 1024;
 constexpr uint32_t SlowFactor = 10;
 constexpr uint32_t SlowFloorUs = 20000;
-constexpr std::string_view ControlPrefix = "/-/fault/";
+constexpr std::string_view ControlPrefix = "/-/";
+constexpr std::string_view FaultPrefix = "/-/fault/";
+constexpr size_t FieldBytes = 1024;
 constexpr std::string_view ArchivePrefix = "/archive/";
 constexpr std::string_view CrashMark = "crash-me";
 
 /// How the stand-in misbehaves.
-enum class Fault : uint8_t { None, Slow, Stall, Truncate, Reset, Error, Shed };
+enum class Fault : uint8_t {
+  None,
+  Slow,
+  Stall,
+  Truncate,
+  Reset,
+  Error,
+  Shed,
+  /// Says that it is leaving and runs on.
+  Drain,
+  /// Says that it is unhealthy and runs on.
+  WrongHealth,
+};
 
 struct FaultRow {
   std::string_view Name;
@@ -44,6 +62,8 @@
     {"reset", Fault::Reset},
     {"error", Fault::Error},
     {"shed", Fault::Shed},
+    {"drain", Fault::Drain},
+    {"wrong-health", Fault::WrongHealth},
 });
 
 /// One request in progress; lives as long as its connection.
@@ -65,6 +85,9 @@
 Fault CurrentFault = Fault::None;
 uint32_t Running = 0;
 uint64_t Runs = 0;
+uint64_t ForbiddenSeen = 0;
+RunBook Book;
+lws_usec_t StartedAt = 0;
 std::deque<Job *> Waiting;
 
 void finishTimer(lws_sorted_usec_list_t *timer) {
@@ -80,7 +103,9 @@
   if (CurrentFault == Fault::Stall)
     return;
   uint32_t work = FLAGS_work_us;
-  if (CurrentFault == Fault::Slow)
+  bool cold = lws_now_usecs() - StartedAt <
+              static_cast<lws_usec_t>(FLAGS_cold_ms) * LWS_US_PER_MS;
+  if (CurrentFault == Fault::Slow || cold)
     work = std::max(work * SlowFactor, SlowFloorUs);
   if (work == 0) {
     job->Due = true;
@@ -130,6 +155,8 @@
       !lws_add_http_header_status(job->Wsi, job->Status, &at, end) &&
       addField(job->Wsi, "content-type:", "text/plain", &at, end) &&
       addField(job->Wsi, "x-slots-in-use:", std::to_string(Running), &at, end);
+  if (CurrentFault == Fault::Drain)
+    ok = ok && addField(job->Wsi, "x-leaving:", "1", &at, end);
   if (notRun)
     ok = ok && addField(job->Wsi, "x-not-run:", "1", &at, end);
   ok = ok &&
@@ -184,15 +211,91 @@
   return !sent || lws_http_transaction_completed(job->Wsi) ? -1 : 0;
 }
 
-int control(Job *job, std::string_view name) {
-  for (const FaultRow &row : FaultRows)
-    if (row.Name == name)
-      CurrentFault = row.Kind;
-  job->BodyBytes = 0;
-  bool sent = sendHead(job, false);
+/// Answers with a short text at once.
+int answerText(Job *job, const std::string &text) {
+  job->BodyBytes = text.size();
+  std::string buf(LWS_PRE, '\0');
+  buf += text;
+  bool sent = sendHead(job, false) &&
+              lws_write(job->Wsi,
+                        reinterpret_cast<unsigned char *>(buf.data()) + LWS_PRE,
+                        text.size(), LWS_WRITE_HTTP_FINAL) >= 0;
   return !sent || lws_http_transaction_completed(job->Wsi) ? -1 : 0;
 }
 
+int answerHealth(Job *job) {
+  bool bad = CurrentFault == Fault::Drain || CurrentFault == Fault::WrongHealth;
+  if (bad)
+    job->Status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+  return answerText(job, bad ? "unhealthy\n" : "healthy\n");
+}
+
+int answerRuns(Job *job) { return answerText(job, Book.lines()); }
+
+int answerRunning(Job *job) {
+  return answerText(job, std::to_string(Running) + "\n");
+}
+
+int answerForbidden(Job *job) {
+  return answerText(job, std::to_string(ForbiddenSeen) + "\n");
+}
+
+/// A path that the stand-in answers at once.
+struct ControlRow {
+  std::string_view Path;
+  int (*Answer)(Job *job);
+};
+
+constexpr auto ControlRows = std::to_array<ControlRow>({
+    {"/-/health", &answerHealth},
+    {"/-/runs", &answerRuns},
+    {"/-/running", &answerRunning},
+    {"/-/forbidden", &answerForbidden},
+});
+
+int control(Job *job, std::string_view path) {
+  for (const ControlRow &row : ControlRows)
+    if (row.Path == path)
+      return row.Answer(job);
+  for (const FaultRow &row : FaultRows) {
+    if (!path.starts_with(FaultPrefix) ||
+        path.substr(FaultPrefix.size()) != row.Name)
+      continue;
+    CurrentFault = row.Kind;
+    return answerText(job, std::string(row.Name) + "\n");
+  }
+  job->Status = HTTP_STATUS_NOT_FOUND;
+  return answerText(job, "unknown control path\n");
+}
+
+/// Counts a request that holds the forbidden text in a place where keys come.
+void checkForbidden(lws *wsi) {
+  if (FLAGS_forbid.empty())
+    return;
+  constexpr auto Places = std::to_array<lws_token_indexes>(
+      {WSI_TOKEN_HTTP_AUTHORIZATION, WSI_TOKEN_HTTP_URI_ARGS,
+       WSI_TOKEN_HTTP_COOKIE, WSI_TOKEN_HTTP_REFERER});
+  constexpr std::string_view KeyHeader = "x-api-key:";
+  std::array<char, FieldBytes> buf{};
+  bool seen = false;
+  for (lws_token_indexes place : Places)
+    if (lws_hdr_copy(wsi, buf.data(), buf.size(), place) > 0)
+      seen |= std::string_view(buf.data()).find(FLAGS_forbid) !=
+              std::string_view::npos;
+  seen |= lws_hdr_custom_length(wsi, KeyHeader.data(), KeyHeader.size()) > 0;
+  ForbiddenSeen += seen ? 1 : 0;
+}
+
+/// Notes a numbered request that is not idempotent ("?n=NAME").
+void noteRun(lws *wsi) {
+  std::array<char, FieldBytes> buf{};
+  if (lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) <= 0)
+    return;
+  if (const char *name =
+          lws_get_urlarg_by_name(wsi, "n=", buf.data(), buf.size()))
+    Book.add(name);
+}
+
 /// \returns the body length that \p path asks for: "/archive/BYTES", or a
 /// small answer.
 uint64_t bodyLength(std::string_view path) {
@@ -210,12 +313,14 @@
   job->BodyBytes = bodyLength(path);
   job->Bodyless = lws_hdr_total_length(wsi, WSI_TOKEN_HEAD_URI) > 0;
   if (path.starts_with(ControlPrefix))
-    return control(job, path.substr(ControlPrefix.size()));
+    return control(job, path);
+  checkForbidden(wsi);
   if (path.find(CrashMark) != std::string_view::npos)
     std::_Exit(3);
   bool full = Running >= FLAGS_slots && Waiting.size() >= FLAGS_queue;
   if (full || CurrentFault == Fault::Shed)
     return shed(job);
+  noteRun(wsi);
   if (CurrentFault == Fault::Error)
     job->Status = HTTP_STATUS_INTERNAL_SERVER_ERROR;
   std::array<char, 24> digits{};
@@ -260,6 +365,7 @@
 
 int main(int argc, char **argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  StartedAt = lws_now_usecs();
   lws_set_log_level(LLL_ERR, nullptr);
   lws_context_creation_info info{};
   info.port = static_cast<int>(FLAGS_port);
