--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -3,11 +3,15 @@
 #ifndef GUAVASAIL_PEER_MESSAGE_H
 #define GUAVASAIL_PEER_MESSAGE_H
 
+#include <cstddef>
 #include <cstdint>
 #include <variant>
 
 namespace guavasail {
 
+/// Most bytes of one encoded message. Senders split what is longer.
+inline constexpr size_t MaxPeerMessageBytes = 64 * 1024;
+
 /// Says that the sender runs.
 struct Heartbeat {
   uint64_t Incarnation = 0;
--- /dev/null
+++ b/src/peer_codec_fields.h
@@ -0,0 +1,40 @@
+/// \file
+/// Rows that say how each message between daemons is written.
+///
+/// To add a message: add the struct to `peer_message.h` and to `PeerBody`, then
+/// specialize `PeerFields` here with a kind number that was never used before
+/// and one row for each member. Rows stay in place for ever: a new member goes
+/// to the end of the struct and of the rows, with a default that an older
+/// sender implies. A struct inside a message gets rows without a kind. An
+/// enumeration gets a `PeerEnumCount`. Members may be bool, unsigned integers,
+/// int64_t, enumerations, `Digest`, `Duration`, `std::string`,
+/// `std::vector<uint8_t>` (bytes), structs with rows, and vectors of these. No
+/// handle may travel: handles are local to one VM.
+#ifndef GUAVASAIL_SRC_PEER_CODEC_FIELDS_H
+#define GUAVASAIL_SRC_PEER_CODEC_FIELDS_H
+
+#include "guavasail/clock.h"
+#include "guavasail/digest.h"
+#include "guavasail/peer_message.h"
+
+#include <cstdint>
+#include <tuple>
+
+namespace guavasail {
+
+/// The members of \p Struct, in the order in which they are written. `Kind`
+/// names the message and is never used again for another one.
+template <typename Struct> struct PeerFields;
+
+/// Number of enumerators of \p Enum; greater values are refused.
+template <typename Enum> inline constexpr uint64_t PeerEnumCount = 0;
+
+template <> struct PeerFields<Heartbeat> {
+  static constexpr uint32_t Kind = 1;
+  static constexpr std::tuple Members{
+      &Heartbeat::Incarnation, &Heartbeat::CatalogVersion, &Heartbeat::Leaving};
+};
+
+} // namespace guavasail
+
+#endif
