Health of instances: pooled evidence, verdicts under the floor, subsets

A daemon at the target size sees one request a minute on each instance, so no daemon can find a sick instance alone. Daemons now count outcomes and latency buckets of their attempts, attempts that are outstanding for too long among them, and send them every 250 ms to the evidence owner of the service, found by rendezvous hashing. The owner weighs each instance against its peers by a cumulative log-likelihood ratio, so a slow service is not a sick instance, and asks for adverse evidence from more than one group of reporters, so a path fault is not one either. Ejections lengthen when they repeat and end in a trickle and a slow start. Baselines that each daemon decides alone are rows of the same table.

Each daemon applies the floor, counted in slots, to the union of verdicts, its own path faults, drains and leaving instances; a stateful property covers any mix of these with catalog changes and time.

Balancing takes weights and zones into account and picks from a subset of the instances that keeps the connections to each within its limit over all daemons. Round-robin and random stay as baselines.

The unknown typical latency after a start made early answers look slow and blamed other reporters; the test OneReporterOfTwo showed it.

--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -3,9 +3,13 @@
 #ifndef GUAVASAIL_PEER_MESSAGE_H
 #define GUAVASAIL_PEER_MESSAGE_H
 
+#include "guavasail/clock.h"
+#include "guavasail/health.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <variant>
+#include <vector>
 
 namespace guavasail {
 
@@ -19,7 +23,47 @@
   bool Leaving = false;
 };
 
-using PeerBody = std::variant<Heartbeat>;
+/// Outcomes of one kind that one instance yielded in a slice of time.
+struct EvidenceCell {
+  /// See `instanceKey`.
+  uint32_t Instance = 0;
+  uint16_t Count = 0;
+  /// Latency bucket or outcome, see `evidence.h`.
+  uint8_t Cell = 0;
+};
+
+/// What the sender saw of one service since its last report.
+struct EvidenceReport {
+  /// See `serviceKey`.
+  uint64_t Service = 0;
+  /// Version of the last verdict that the sender holds from the receiver.
+  uint32_t VerdictVersion = 0;
+  std::vector<EvidenceCell> Cells;
+};
+
+/// The evidence owner's verdict on one instance.
+struct VerdictEntry {
+  uint32_t Instance = 0;
+  VerdictState State = VerdictState::Healthy;
+  EjectReason Reason = EjectReason::None;
+  /// How often the instance was ejected lately.
+  uint8_t Level = 0;
+  /// Orders instances when not all may be ejected; more is worse.
+  uint16_t Badness = 0;
+  /// Time until the next state.
+  Duration Remaining{};
+};
+
+/// Verdicts of a service's evidence owner. Each entry stands for itself.
+struct VerdictUpdate {
+  uint64_t Service = 0;
+  uint32_t Version = 0;
+  /// True for the last message of the version.
+  bool Last = false;
+  std::vector<VerdictEntry> Entries;
+};
+
+using PeerBody = std::variant<Heartbeat, EvidenceReport, VerdictUpdate>;
 
 } // namespace guavasail
 
--- a/include/guavasail/reducer.h
+++ b/include/guavasail/reducer.h
@@ -5,6 +5,7 @@
 
 #include "guavasail/effect.h"
 #include "guavasail/event.h"
+#include "guavasail/health.h"
 #include "guavasail/limits.h"
 
 #include <cstdint>
@@ -13,14 +14,24 @@
 namespace guavasail {
 
 /// Ways to choose an instance for an attempt.
-enum class BalanceKind : uint8_t { RoundRobin, LeastLoadedOfTwo };
+enum class BalanceKind : uint8_t {
+  /// Baseline: one after the other.
+  RoundRobin,
+  /// Baseline: plain random.
+  Random,
+  /// The less loaded of two random ones, wherever they are.
+  LeastLoadedOfTwo,
+  /// The less loaded of two in this VM's zone, spilling over under load.
+  NearLeastLoadedOfTwo,
+};
 
 /// Describes a reducer. Fill in what differs from the defaults.
 struct ReducerInit {
   Limits Bounds;
   /// Availability zone of this VM.
   std::string_view Zone;
-  BalanceKind Balance = BalanceKind::LeastLoadedOfTwo;
+  BalanceKind Balance = BalanceKind::NearLeastLoadedOfTwo;
+  DetectorKind Detector = DetectorKind::Pooled;
   /// Seed of every random choice.
   uint64_t Seed = 1;
 };
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -5,7 +5,9 @@
 
 #include "catalog_index.h"
 #include "guavasail/reducer.h"
+#include "health_table.h"
 #include "instance_table.h"
+#include "subset.h"
 
 #include <random>
 #include <span>
@@ -18,12 +20,13 @@
 struct BalanceInput {
   const CatalogIndex &Catalog;
   const InstanceTable &Instances;
+  const HealthTable &Health;
+  const ServiceSubset &Subset;
   ServiceHandle Service;
   /// Instance that an earlier attempt used; avoided while others remain.
   InstanceHandle Avoid;
   /// Zone of this VM; its instances go first.
   ZoneHandle Zone;
-  uint32_t LanesPerInstance = 0;
 };
 
 /// Picks instances.
@@ -48,9 +51,15 @@
 
   InstanceHandle pickNext(const BalanceInput &input,
                           std::span<const InstanceHandle> candidates);
+  InstanceHandle pickRandom(const BalanceInput &input,
+                            std::span<const InstanceHandle> candidates);
   InstanceHandle pickLeastOfTwo(const BalanceInput &input,
                                 std::span<const InstanceHandle> candidates);
-  void collect(const BalanceInput &input);
+  InstanceHandle pickNearLeastOfTwo(const BalanceInput &input,
+                                    std::span<const InstanceHandle> candidates);
+  void collect(const BalanceInput &input,
+               std::span<const InstanceHandle> instances, uint32_t lanes);
+  bool passes(uint32_t weight);
 
   BalanceKind Kind;
   std::mt19937_64 Random;
--- a/src/instance_table.h
+++ b/src/instance_table.h
@@ -17,8 +17,6 @@
 struct InstanceState {
   /// Lanes in use, one bit each.
   uint64_t BusyLanes = 0;
-  /// The instance said that it is leaving.
-  bool Leaving = false;
   /// Slots in use by the instance's own report.
   uint32_t ReportedInUse = 0;
 
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -35,6 +35,35 @@
       &Heartbeat::Incarnation, &Heartbeat::CatalogVersion, &Heartbeat::Leaving};
 };
 
+template <> inline constexpr uint64_t PeerEnumCount<VerdictState> = 4;
+template <> inline constexpr uint64_t PeerEnumCount<EjectReason> = 7;
+
+template <> struct PeerFields<EvidenceCell> {
+  static constexpr std::tuple Members{
+      &EvidenceCell::Instance, &EvidenceCell::Count, &EvidenceCell::Cell};
+};
+
+template <> struct PeerFields<EvidenceReport> {
+  static constexpr uint32_t Kind = 20;
+  static constexpr std::tuple Members{&EvidenceReport::Service,
+                                      &EvidenceReport::VerdictVersion,
+                                      &EvidenceReport::Cells};
+};
+
+template <> struct PeerFields<VerdictEntry> {
+  static constexpr std::tuple Members{
+      &VerdictEntry::Instance, &VerdictEntry::State,
+      &VerdictEntry::Reason,   &VerdictEntry::Level,
+      &VerdictEntry::Badness,  &VerdictEntry::Remaining};
+};
+
+template <> struct PeerFields<VerdictUpdate> {
+  static constexpr uint32_t Kind = 21;
+  static constexpr std::tuple Members{
+      &VerdictUpdate::Service, &VerdictUpdate::Version, &VerdictUpdate::Last,
+      &VerdictUpdate::Entries};
+};
+
 } // namespace guavasail
 
 #endif
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -2,6 +2,7 @@
 
 #include "reducer_state.h"
 
+#include <algorithm>
 #include <array>
 #include <variant>
 
@@ -46,15 +47,19 @@
   Handlers[event.Body.index()](*State, event.Body, step);
 }
 
-Instant Reducer::nextWake() const { return State->Timers.nextDue(); }
+Instant Reducer::nextWake() const {
+  return std::min(State->Timers.nextDue(), State->Health.nextTick());
+}
 
 ReducerState::ReducerState(const ReducerInit &init)
-    : Bounds(init.Bounds), Picker(init.Balance, init.Seed),
-      Zone(Catalog.zone(init.Zone)) {}
+    : Bounds(init.Bounds), Health(init.Detector),
+      Picker(init.Balance, init.Seed), Zone(Catalog.zone(init.Zone)) {}
 
-void ReducerState::onCatalogAccepted(const CatalogAccepted &event, Step &) {
+void ReducerState::onCatalogAccepted(const CatalogAccepted &event, Step &step) {
   Catalog.accept(*event.Catalog);
   Instances.resize(Catalog.instances().size());
+  Health.acceptCatalog(Catalog, step.Now);
+  Subsets.refresh(Catalog, Members.view(), Zone, Bounds.LanesPerInstance);
   Ready = true;
 }
 
@@ -76,6 +81,8 @@
 void ReducerState::onTimeAdvanced(const TimeAdvanced &, Step &step) {
   while (Timers.nextDue() <= step.Now)
     onDeadline(Timers.pop(), step);
+  if (Health.nextTick() <= step.Now)
+    onHealthTick(step);
 }
 
 } // namespace guavasail
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -6,6 +6,19 @@
 
 constexpr uint32_t FirstServerErrorStatus = 500;
 
+/// \returns what an answer's status says about the instance.
+OutcomeKind outcomeOf(uint32_t status) {
+  return status >= FirstServerErrorStatus ? OutcomeKind::Error
+                                          : OutcomeKind::Ok;
+}
+
+/// \returns what a fault says about the instance.
+OutcomeKind outcomeOf(AttemptFault fault) {
+  bool connected = fault != AttemptFault::ConnectFailed &&
+                   fault != AttemptFault::ConnectTimedOut;
+  return connected ? OutcomeKind::Fault : OutcomeKind::Unreachable;
+}
+
 /// \returns the refusal that states what is known after a failed attempt.
 RefusalKind refusalAfterFault(const Request &request, RefusalKind fallback) {
   if (!request.MayHaveRun)
@@ -25,9 +38,10 @@
 } // namespace
 
 void ReducerState::startAttempt(Request &request, Step &step) {
+  ServiceHandle service = Catalog.at(request.Route).Service;
   InstanceHandle instance =
-      Picker.pick({Catalog, Instances, Catalog.at(request.Route).Service,
-                   request.Instance, Zone, Bounds.LanesPerInstance});
+      Picker.pick({Catalog, Instances, Health.table(), Subsets.at(service),
+                   service, request.Instance, Zone});
   if (!instance.valid())
     return refuse(request, refusalAfterFault(request, RefusalKind::NoInstance),
                   step);
@@ -35,6 +49,7 @@
   Lane lane = Instances.takeLane(instance);
   request.Current = {request.Self, ++request.Attempts};
   request.AttemptStarted = step.Now;
+  Health.attemptStarted(request.Current, instance, step.Now);
   step.Effects.push(StartAttempt{request.Current, instance, lane,
                                  request.Deadline - step.Now});
 }
@@ -50,8 +65,12 @@
   InstanceState &instance = Instances.at(request->Instance);
   if (event.Load.Present) {
     instance.ReportedInUse = event.Load.SlotsInUse;
-    instance.Leaving = event.Load.Leaving;
+    Health.table().setLeaving(request->Instance, event.Load.Leaving, step.Now);
   }
+  if (event.Shed)
+    Health.attemptDropped(event.Attempt);
+  else
+    Health.attemptEnded(event.Attempt, outcomeOf(event.Status), step.Now);
   request->MayHaveRun |= !event.Shed;
   bool failed = event.Shed || event.Status >= FirstServerErrorStatus;
   bool again =
@@ -69,6 +88,7 @@
   Request *request = Requests.findCurrent(event.Attempt);
   if (!request)
     return;
+  Health.attemptDropped(event.Attempt);
   step.Effects.push(FinishAnswer{request->Self});
   closeRequest(*request, step);
 }
@@ -78,6 +98,7 @@
   if (!request)
     return;
   request->MayHaveRun |= event.MayHaveRun;
+  Health.attemptEnded(event.Attempt, outcomeOf(event.Fault), step.Now);
   if (request->Phase == RequestPhase::Relaying) {
     step.Effects.push(AbortAnswer{request->Self});
     return closeRequest(*request, step);
@@ -96,6 +117,7 @@
   Request *request = Requests.find(timer.Attempt.Request);
   if (!request)
     return;
+  Health.attemptTimedOut(request->Current, step.Now);
   step.Effects.push(CancelAttempt{request->Current});
   if (request->Phase == RequestPhase::Relaying) {
     step.Effects.push(AbortAnswer{request->Self});
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -50,6 +50,7 @@
   Request *request = Requests.find(event.Request);
   if (!request)
     return;
+  Health.attemptDropped(request->Current);
   step.Effects.push(CancelAttempt{request->Current});
   closeRequest(*request, step);
 }
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -9,9 +9,11 @@
 #include "guavasail/event.h"
 #include "guavasail/limits.h"
 #include "guavasail/reducer.h"
+#include "health_fleet.h"
 #include "instance_table.h"
 #include "member_table.h"
 #include "request_table.h"
+#include "subset.h"
 #include "timer_heap.h"
 
 namespace guavasail {
@@ -44,6 +46,8 @@
   // Other daemons. One overload for each kind of message.
   void onPeerArrived(const PeerArrived &event, Step &step);
   void onPeer(VmHandle from, const Heartbeat &message, Step &step);
+  void onPeer(VmHandle from, const EvidenceReport &message, Step &step);
+  void onPeer(VmHandle from, const VerdictUpdate &message, Step &step);
 
   // Steps shared by handlers.
   void startAttempt(Request &request, Step &step);
@@ -52,10 +56,13 @@
               Duration retryAfter = {});
   void closeRequest(Request &request, Step &step);
   void onDeadline(const Timer &timer, Step &step);
+  void onHealthTick(Step &step);
 
   Limits Bounds;
   CatalogIndex Catalog;
   InstanceTable Instances;
+  FleetHealth Health;
+  SubsetTable Subsets;
   MemberTable Members;
   RequestTable Requests;
   TimerHeap Timers;
