Membership by pings, indirect probes and refutable suspicion

Cause: every part of the fleet needs to know which VMs run, over links that fail in one direction, without a coordination service. Statements are ordered by incarnation and state, so that every order of arrival ends in the same belief. A paused VM drops its judgements, refutes with a higher incarnation and learns that it was thought gone. The platform's list adds, marks as leaving and removes. The all-to-all baseline stands in the same table. Handles are used again an hour after their VM is gone, with a new generation.

--- a/include/guavasail/event.h
+++ b/include/guavasail/event.h
@@ -7,9 +7,11 @@
 #include "guavasail/clock.h"
 #include "guavasail/digest.h"
 #include "guavasail/handle.h"
+#include "guavasail/member.h"
 #include "guavasail/peer_message.h"
 
 #include <cstdint>
+#include <span>
 #include <string_view>
 #include <variant>
 
@@ -98,6 +100,11 @@
   PeerBody Body;
 };
 
+/// The platform's list of VMs was read. It may lag behind.
+struct VmListRead {
+  std::span<const VmSpec> Vms;
+};
+
 /// Time passed; due timers fire.
 struct TimeAdvanced {};
 
@@ -107,7 +114,7 @@
 using EventBody =
     std::variant<CatalogAccepted, RequestArrived, CallerGone, AttemptAnswered,
                  AttemptCompleted, AttemptFailed, LaneFreed, PeerArrived,
-                 TimeAdvanced, DrainRequested>;
+                 TimeAdvanced, DrainRequested, VmListRead>;
 
 /// One input of the reducer.
 struct Event {
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -5,9 +5,11 @@
 
 #include "guavasail/clock.h"
 #include "guavasail/health.h"
+#include "guavasail/member.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -63,7 +65,48 @@
   std::vector<VerdictEntry> Entries;
 };
 
-using PeerBody = std::variant<Heartbeat, EvidenceReport, VerdictUpdate>;
+/// What the sender believes of one VM.
+struct MemberUpdate {
+  std::string Name;
+  VmState State = VmState::Unknown;
+  uint64_t Incarnation = 0;
+  std::string Address;
+  uint32_t PeerPort = 0;
+  std::string Zone;
+  std::string Region;
+};
+
+/// Asks the receiver for a `MemberAck`.
+struct MemberPing {
+  uint64_t Sequence = 0;
+  /// Of the sender.
+  uint64_t Incarnation = 0;
+  bool Leaving = false;
+  /// The sender has just started and wants more updates than usual.
+  bool Joining = false;
+  std::vector<MemberUpdate> Updates;
+};
+
+/// Answers a `MemberPing`, or a `MemberPingRequest` if it is relayed.
+struct MemberAck {
+  uint64_t Sequence = 0;
+  /// Of the VM that was pinged.
+  uint64_t Incarnation = 0;
+  bool Leaving = false;
+  bool Relayed = false;
+  /// False if the sender, too, got no answer from the VM.
+  bool Reached = true;
+  std::vector<MemberUpdate> Updates;
+};
+
+/// Asks the receiver to ping another VM.
+struct MemberPingRequest {
+  uint64_t Sequence = 0;
+  std::string Target;
+};
+
+using PeerBody = std::variant<Heartbeat, EvidenceReport, VerdictUpdate,
+                              MemberPing, MemberAck, MemberPingRequest>;
 
 } // namespace guavasail
 
--- a/include/guavasail/reducer.h
+++ b/include/guavasail/reducer.h
@@ -7,6 +7,7 @@
 #include "guavasail/event.h"
 #include "guavasail/health.h"
 #include "guavasail/limits.h"
+#include "guavasail/member.h"
 
 #include <cstdint>
 #include <memory>
@@ -32,6 +33,12 @@
   std::string_view Zone;
   BalanceKind Balance = BalanceKind::NearLeastLoadedOfTwo;
   DetectorKind Detector = DetectorKind::Pooled;
+  /// This VM as others find it; without a name it takes no part in the fleet.
+  VmSpec Self;
+  /// Greater than that of any earlier start of this VM; the low 20 bits are
+  /// zero.
+  uint64_t Incarnation = 0;
+  MembershipKind Membership = MembershipKind::Probing;
   /// Seed of every random choice.
   uint64_t Seed = 1;
 };
--- /dev/null
+++ b/src/member_table.cpp
@@ -0,0 +1,153 @@
+#include "member_table.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace guavasail {
+
+namespace {
+
+constexpr size_t MaxNameBytes = 64;
+
+/// Rank of each state among statements of the same incarnation.
+constexpr std::array<uint8_t, 6> Ranks = {0, 1, 3, 4, 2, 5};
+
+using StatementKey = std::pair<uint64_t, uint8_t>;
+
+StatementKey keyOf(VmState state, uint64_t incarnation) {
+  // A removed VM comes back only with a new start.
+  if (state == VmState::Removed)
+    incarnation |= MemberRefutationMask;
+  return {incarnation, Ranks[static_cast<size_t>(state)]};
+}
+
+bool isEnded(VmState state) {
+  return state == VmState::Gone || state == VmState::Removed;
+}
+
+bool usable(const VmSpec &spec) {
+  return !spec.Name.empty() && spec.Name.size() <= MaxNameBytes &&
+         spec.Address.size() <= MaxNameBytes &&
+         spec.Zone.size() <= MaxNameBytes && spec.Region.size() <= MaxNameBytes;
+}
+
+} // namespace
+
+VmHandle MemberTable::intern(const VmSpec &spec, ZoneHandle zone, Instant now) {
+  if (!usable(spec))
+    return {};
+  auto it = Names.find(spec.Name);
+  VmHandle vm = it == Names.end() ? allocate() : it->second;
+  if (!vm.valid())
+    return vm;
+  VmEntry &entry = Vms[vm.Value];
+  if (it == Names.end()) {
+    uint32_t generation = entry.Generation + 1;
+    entry = VmEntry{};
+    entry.Name = spec.Name;
+    entry.Generation = generation;
+    entry.Changed = now;
+    Names.emplace(spec.Name, vm);
+  }
+  entry.Address = spec.Address;
+  entry.PeerPort = spec.PeerPort;
+  entry.Zone = zone;
+  entry.Region = spec.Region;
+  return vm;
+}
+
+VmHandle MemberTable::allocate() {
+  if (!Free.empty()) {
+    VmHandle vm = Free.back();
+    Free.pop_back();
+    return vm;
+  }
+  if (Vms.size() == MaxMembers)
+    return {};
+  Vms.emplace_back();
+  return {static_cast<uint32_t>(Vms.size() - 1)};
+}
+
+VmHandle MemberTable::find(std::string_view name) const {
+  auto it = Names.find(name);
+  return it == Names.end() ? VmHandle{} : it->second;
+}
+
+bool MemberTable::contains(VmHandle vm) const {
+  return vm.Value < Vms.size() && !Vms[vm.Value].Name.empty();
+}
+
+bool MemberTable::apply(VmHandle vm, VmState state, uint64_t incarnation,
+                        Instant now) {
+  const VmEntry &entry = Vms[vm.Value];
+  if (keyOf(state, incarnation) <= keyOf(entry.State, entry.Incarnation))
+    return false;
+  force(vm, state, incarnation, now);
+  return true;
+}
+
+void MemberTable::force(VmHandle vm, VmState state, uint64_t incarnation,
+                        Instant now) {
+  VmEntry &entry = Vms[vm.Value];
+  bool changed = entry.State != state;
+  entry.State = state;
+  entry.Incarnation = incarnation;
+  if (!changed)
+    return;
+  entry.Changed = now;
+  rebuildLive();
+}
+
+void MemberTable::hear(VmHandle vm, Instant now) {
+  if (!contains(vm))
+    return;
+  Vms[vm.Value].LastHeard = now;
+  zoneOf(Vms[vm.Value].Zone).LastHeard = now;
+  LastHeard = now;
+}
+
+void MemberTable::forgetOld(Instant now) {
+  for (uint32_t n = 0; n < Vms.size(); ++n) {
+    VmEntry &entry = Vms[n];
+    bool old = !entry.Name.empty() && isEnded(entry.State) && !entry.Listed &&
+               now - entry.Changed >= MemberForgetAfter;
+    if (!old || VmHandle{n} == Self)
+      continue;
+    Names.erase(entry.Name);
+    entry.Name.clear();
+    Free.push_back({n});
+  }
+}
+
+ZoneEntry &MemberTable::zoneOf(ZoneHandle zone) {
+  auto it =
+      std::find_if(Zones.begin(), Zones.end(),
+                   [&](const ZoneEntry &entry) { return entry.Zone == zone; });
+  return it == Zones.end() ? Zones.emplace_back(ZoneEntry{zone}) : *it;
+}
+
+void MemberTable::rebuildLive() {
+  Live.clear();
+  for (ZoneEntry &zone : Zones)
+    zone.Live = 0;
+  for (uint32_t n = 0; n < Vms.size(); ++n) {
+    if (Vms[n].Name.empty() || !isLive(Vms[n].State))
+      continue;
+    ++zoneOf(Vms[n].Zone).Live;
+    if (VmHandle{n} != Self)
+      Live.push_back({n});
+  }
+}
+
+MemberView MemberTable::view() const {
+  MemberView view;
+  view.Vms = Vms;
+  view.Self = Self;
+  view.Live = Live;
+  view.Zones = Zones;
+  view.LastHeard = LastHeard;
+  return view;
+}
+
+} // namespace guavasail
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -64,6 +64,36 @@
       &VerdictUpdate::Entries};
 };
 
+template <> inline constexpr uint64_t PeerEnumCount<VmState> = 6;
+
+template <> struct PeerFields<MemberUpdate> {
+  static constexpr std::tuple Members{
+      &MemberUpdate::Name,        &MemberUpdate::State,
+      &MemberUpdate::Incarnation, &MemberUpdate::Address,
+      &MemberUpdate::PeerPort,    &MemberUpdate::Zone,
+      &MemberUpdate::Region};
+};
+
+template <> struct PeerFields<MemberPing> {
+  static constexpr uint32_t Kind = 2;
+  static constexpr std::tuple Members{
+      &MemberPing::Sequence, &MemberPing::Incarnation, &MemberPing::Leaving,
+      &MemberPing::Joining, &MemberPing::Updates};
+};
+
+template <> struct PeerFields<MemberAck> {
+  static constexpr uint32_t Kind = 3;
+  static constexpr std::tuple Members{
+      &MemberAck::Sequence, &MemberAck::Incarnation, &MemberAck::Leaving,
+      &MemberAck::Relayed,  &MemberAck::Reached,     &MemberAck::Updates};
+};
+
+template <> struct PeerFields<MemberPingRequest> {
+  static constexpr uint32_t Kind = 4;
+  static constexpr std::tuple Members{&MemberPingRequest::Sequence,
+                                      &MemberPingRequest::Target};
+};
+
 } // namespace guavasail
 
 #endif
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -33,6 +33,7 @@
     &call<PeerArrived, &ReducerState::onPeerArrived>,
     &call<TimeAdvanced, &ReducerState::onTimeAdvanced>,
     &call<DrainRequested, &ReducerState::onDrainRequested>,
+    &call<VmListRead, &ReducerState::onVmListRead>,
 };
 
 } // namespace
@@ -48,12 +49,14 @@
 }
 
 Instant Reducer::nextWake() const {
-  return std::min(State->Timers.nextDue(), State->Health.nextTick());
+  return std::min({State->Timers.nextDue(), State->Health.nextTick(),
+                   State->Members.nextDue()});
 }
 
 ReducerState::ReducerState(const ReducerInit &init)
-    : Bounds(init.Bounds), Health(init.Detector),
-      Picker(init.Balance, init.Seed), Zone(Catalog.zone(init.Zone)) {}
+    : Bounds(init.Bounds), Members(membershipInit(init), Catalog),
+      Health(init.Detector), Picker(init.Balance, init.Seed),
+      Zone(Catalog.zone(init.Zone)) {}
 
 void ReducerState::onCatalogAccepted(const CatalogAccepted &event, Step &step) {
   Catalog.accept(*event.Catalog);
@@ -65,6 +68,7 @@
 
 void ReducerState::onDrainRequested(const DrainRequested &, Step &step) {
   Draining = true;
+  Members.leave({step.Now, step.Effects});
   if (Requests.open() == 0)
     step.Effects.push(DrainCompleted{});
 }
@@ -74,15 +78,13 @@
              event.Body);
 }
 
-void ReducerState::onPeer(VmHandle from, const Heartbeat &, Step &step) {
-  Members.hear(from, step.Now);
-}
-
 void ReducerState::onTimeAdvanced(const TimeAdvanced &, Step &step) {
   while (Timers.nextDue() <= step.Now)
     onDeadline(Timers.pop(), step);
   if (Health.nextTick() <= step.Now)
     onHealthTick(step);
+  if (Members.nextDue() <= step.Now)
+    Members.advance({step.Now, step.Effects});
 }
 
 } // namespace guavasail
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -11,7 +11,7 @@
 #include "guavasail/reducer.h"
 #include "health_fleet.h"
 #include "instance_table.h"
-#include "member_table.h"
+#include "membership.h"
 #include "request_table.h"
 #include "subset.h"
 #include "timer_heap.h"
@@ -45,9 +45,16 @@
 
   // Other daemons. One overload for each kind of message.
   void onPeerArrived(const PeerArrived &event, Step &step);
+
+  // Membership (member_part.cpp).
+  static MembershipInit membershipInit(const ReducerInit &init);
+  void onVmListRead(const VmListRead &event, Step &step);
   void onPeer(VmHandle from, const Heartbeat &message, Step &step);
   void onPeer(VmHandle from, const EvidenceReport &message, Step &step);
   void onPeer(VmHandle from, const VerdictUpdate &message, Step &step);
+  void onPeer(VmHandle from, const MemberPing &message, Step &step);
+  void onPeer(VmHandle from, const MemberAck &message, Step &step);
+  void onPeer(VmHandle from, const MemberPingRequest &message, Step &step);
 
   // Steps shared by handlers.
   void startAttempt(Request &request, Step &step);
@@ -61,9 +68,9 @@
   Limits Bounds;
   CatalogIndex Catalog;
   InstanceTable Instances;
+  Membership Members;
   FleetHealth Health;
   SubsetTable Subsets;
-  MemberTable Members;
   RequestTable Requests;
   TimerHeap Timers;
   Balancer Picker;
