Strict framing, keys and hop-by-hop headers at the edge

A refused request with a doubtful length left its connection open and the rest was read as the next request; a second Host line, control bytes and different keys in one request were accepted; headers named in Connection passed; the time left was not passed on; a chunked answer cut off before its last chunk, an answer without any length, and an interim answer were shown as whole. Change: such requests are refused and the connection is closed; all places that name a key have to agree and whatever else holds the key is dropped; an answer is whole by its length or its last chunk only; an interim answer counts as malformed, since the library takes it for a final one; HTTP/1.0 callers get no chunks, and a reset instead of an end when the answer broke; 100 Continue is sent once an attempt starts. Limits of the HTTP library: it answers an unknown method with its own 403 and closes on a head that is too large; it cuts a value at a bare CR, drops a folded line, and of a repeated header that it does not know it gives the first. The rows state what is forwarded then: none of the odd bytes.

--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -14,6 +14,8 @@
 constexpr size_t BodyChunkBytes = 16 * 1024;
 constexpr size_t ReadChunkBytes = 16 * 1024;
 constexpr uint16_t KeepWarmSeconds = 30;
+constexpr uint32_t FirstFinalStatus = 200;
+constexpr uint32_t LastStatus = 599;
 constexpr uint32_t NoContentStatus = 204;
 constexpr uint32_t NotModifiedStatus = 304;
 
@@ -28,14 +30,26 @@
   return value;
 }
 
-std::string headerText(lws *wsi, lws_token_indexes token) {
-  int length = lws_hdr_total_length(wsi, token);
-  if (length <= 0)
-    return {};
-  std::string value(static_cast<size_t>(length) + 1, '\0');
-  lws_hdr_copy(wsi, value.data(), length + 1, token);
-  value.pop_back();
-  return value;
+/// Reads status, framing and headers of an answer. Interim answers are not
+/// supported by the library, which takes them for final ones.
+/// \returns false if the head makes no sense.
+bool parseHead(lws *wsi, AnswerHead &head) {
+  head.Status = lws_http_client_http_response(wsi);
+  if (head.Status < FirstFinalStatus || head.Status > LastStatus)
+    return false;
+  int lengths = headerLines(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  std::string coding = headerLine(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING);
+  head.Chunked = equalIgnoringCase(coding, "chunked");
+  if (lengths > 1 || (lengths == 1 && !coding.empty()))
+    return false;
+  if (lengths == 1)
+    head.Length =
+        parseNumber<uint64_t>(headerLine(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH));
+  auto fields = answerFields(wsi);
+  if (!fields)
+    return false;
+  head.Fields = std::move(*fields);
+  return true;
 }
 
 /// \returns true if an answer of this kind has no body whatever its headers.
@@ -57,6 +71,12 @@
   bool HeadSent = false;
   bool Established = false;
   bool Finished = false;
+  /// Position up to which the library took the bytes of the read in progress,
+  /// null if there is none, and where that read began.
+  char *const *ReadAt = nullptr;
+  const char *ReadFrom = nullptr;
+  /// The answer's head makes no sense.
+  bool Malformed = false;
 };
 
 const BackHttp::Row BackHttp::Rows[] = {
@@ -103,11 +123,9 @@
   call->Attempt = effect.Attempt;
   use->Call = call.get();
   BackendCall &started = *exchange->Calls.emplace_back(std::move(call));
-  exchange->Fields.push_back(
-      {std::string(TimeoutHeader),
-       std::to_string(
-           std::chrono::ceil<std::chrono::milliseconds>(effect.Remaining)
-               .count())});
+  started.Remaining =
+      std::chrono::ceil<std::chrono::milliseconds>(effect.Remaining);
+  Listener->bodyWanted(*exchange);
 
   lws_client_connect_info info{};
   info.context = Context;
@@ -127,9 +145,7 @@
   info.pwsi = &started.Wsi;
   // On failure the library has called back with the error already, unless it
   // failed before a connection existed.
-  lws *wsi = lws_client_connect_via_info(&info);
-  exchange->Fields.pop_back();
-  (void)wsi;
+  lws_client_connect_via_info(&info);
 }
 
 void BackHttp::cancel(const CancelAttempt &effect) {
@@ -189,7 +205,10 @@
     return -1;
   auto **at = static_cast<unsigned char **>(in);
   unsigned char *end = *at + len;
-  if (!writeFields(wsi, exchange->Fields, at, end))
+  HeaderField timeout{std::string(TimeoutHeader),
+                      std::to_string(use.Call->Remaining.count())};
+  if (!writeFields(wsi, exchange->Fields, at, end) ||
+      !writeFields(wsi, {&timeout, 1}, at, end))
     return -1;
   // An empty body is declared too, or the instance would wait for one.
   if (exchange->MayHaveBody &&
@@ -235,13 +254,12 @@
   Exchange *exchange = Exchanges.find(use.Attempt.Request);
   if (!use.Call || !exchange)
     return -1;
-  use.Established = true;
   AnswerHead &head = use.Call->Head;
-  head.Status = lws_http_client_http_response(wsi);
-  head.Fields = answerFields(wsi);
-  std::string length = headerText(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  if (!length.empty())
-    head.Length = parseNumber<uint64_t>(length);
+  if (!parseHead(wsi, head)) {
+    use.Malformed = true;
+    return -1;
+  }
+  use.Established = true;
   AttemptAnswered event;
   event.Attempt = use.Attempt;
   event.Status = head.Status;
@@ -251,7 +269,7 @@
   event.Load.SlotsInUse = parseNumber<uint32_t>(load);
   event.Load.Leaving = !customHeader(wsi, LeavingHeader).empty();
   event.RetryAfter = std::chrono::seconds(
-      parseNumber<uint32_t>(headerText(wsi, WSI_TOKEN_HTTP_RETRY_AFTER)));
+      parseNumber<uint32_t>(headerLine(wsi, WSI_TOKEN_HTTP_RETRY_AFTER)));
   Sink.post(event);
   return 0;
 }
@@ -262,7 +280,11 @@
   std::array<char, LWS_PRE + ReadChunkBytes> buf;
   char *at = buf.data() + LWS_PRE;
   int n = ReadChunkBytes;
-  if (lws_http_client_read(wsi, &at, &n) < 0)
+  use.ReadFrom = at;
+  use.ReadAt = &at;
+  int result = lws_http_client_read(wsi, &at, &n);
+  use.ReadAt = nullptr;
+  if (result < 0)
     return -1;
   // A completed answer leaves the connection open for the next request.
   return use.Call || use.Finished ? 0 : -1;
@@ -288,9 +310,7 @@
   if (!use.Call || !exchange)
     return -1;
   BackendCall &call = *use.Call;
-  bool whole = hasNoBody(*exchange, call.Head.Status) || !call.Head.Length ||
-               *call.Head.Length == call.AnswerBytes;
-  if (!whole)
+  if (!isWhole(use, *exchange))
     return -1;
   Sink.post(AttemptCompleted{use.Attempt, call.AnswerBytes});
   call.Wsi = nullptr;
@@ -299,6 +319,17 @@
   return 0;
 }
 
+bool BackHttp::isWhole(const LaneUse &use, const Exchange &exchange) {
+  const AnswerHead &head = use.Call->Head;
+  if (hasNoBody(exchange, head.Status))
+    return true;
+  if (head.Length)
+    return *head.Length == use.Call->AnswerBytes;
+  // The library also reports the end of the connection as completion. Only
+  // the last chunk makes it take bytes.
+  return head.Chunked && use.ReadAt && *use.ReadAt != use.ReadFrom;
+}
+
 int BackHttp::onConnectError(LaneUse &, lws *, void *, size_t) { return 0; }
 
 int BackHttp::onDestroy(LaneUse &use, lws *wsi, void *, size_t) {
@@ -316,6 +347,8 @@
   AttemptFault fault = AttemptFault::ConnectFailed;
   if (use.Established)
     fault = AttemptFault::Truncated;
+  else if (use.Malformed)
+    fault = AttemptFault::MalformedAnswer;
   else if (use.HeadSent)
     fault = AttemptFault::Reset;
   Sink.post(AttemptFailed{use.Attempt, fault, use.HeadSent});
--- a/src/back_http.h
+++ b/src/back_http.h
@@ -22,6 +22,8 @@
   virtual void answerGrew(Exchange &exchange) = 0;
   /// More room for the request's body is available.
   virtual void bodyDrained(Exchange &exchange) = 0;
+  /// An attempt starts and will need the request's body.
+  virtual void bodyWanted(Exchange &exchange) = 0;
 
 protected:
   ~AnswerListener() = default;
@@ -76,6 +78,7 @@
   int onConnectError(LaneUse &use, lws *wsi, void *in, size_t len);
   int onDestroy(LaneUse &use, lws *wsi, void *in, size_t len);
 
+  static bool isWhole(const LaneUse &use, const Exchange &exchange);
   lws_vhost *lane(Lane lane);
   void postFailure(const LaneUse &use);
   void finishUse(LaneUse &use);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -7,6 +7,7 @@
 #include "guavasail/handle.h"
 #include "guavasail/refusal.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -30,6 +31,8 @@
   uint32_t Status = 0;
   /// Declared body length in bytes.
   std::optional<uint64_t> Length;
+  /// The body ends with a chunk of its own.
+  bool Chunked = false;
   std::vector<HeaderField> Fields;
 };
 
@@ -66,6 +69,8 @@
   struct lws *Wsi = nullptr;
   AnswerHead Head;
   ByteQueue Answer;
+  /// Time left for the request when the attempt was started.
+  std::chrono::milliseconds Remaining{};
   /// Body bytes of the answer received so far.
   uint64_t AnswerBytes = 0;
   /// Body bytes of the request sent so far.
@@ -97,6 +102,12 @@
   std::string Body;
   uint64_t BodyBase = 0;
   bool BodyPaused = false;
+  /// The caller waits for leave to send the body.
+  bool ExpectsContinue = false;
+  /// HTTP/1.0: no chunks, and the connection ends with the answer.
+  bool OldCaller = false;
+  /// The end of the request is in doubt: the connection is not used again.
+  bool FramingInDoubt = false;
 
   AnswerStage Stage = AnswerStage::Waiting;
   bool AnswerWhole = false;
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sys/socket.h>
 
 namespace guavasail {
 
@@ -18,6 +19,7 @@
 constexpr size_t ChunkFrameBytes = 16;
 constexpr size_t BodyBufferBytes = 128 * 1024;
 constexpr std::string_view HealthPrefix = "/-/";
+constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr uint32_t FirstErrorStatus = 500;
 
 const lws_protocols FrontProtocols[] = {
@@ -229,6 +231,18 @@
   lws_rx_flow_control(exchange.Caller, 1);
 }
 
+void FrontHttp::bodyWanted(Exchange &exchange) {
+  if (!exchange.ExpectsContinue || !exchange.Caller)
+    return;
+  exchange.ExpectsContinue = false;
+  if (isHttp2(exchange.Caller))
+    return;
+  std::array<unsigned char, LWS_PRE + ContinueLine.size()> buf;
+  std::copy(ContinueLine.begin(), ContinueLine.end(), buf.data() + LWS_PRE);
+  lws_write(exchange.Caller, buf.data() + LWS_PRE, ContinueLine.size(),
+            LWS_WRITE_HTTP_HEADERS);
+}
+
 int FrontHttp::onClosed(lws *wsi, std::string_view) {
   Exchange *exchange = exchangeOf(wsi);
   if (!exchange)
@@ -292,7 +306,7 @@
   case AnswerStage::Body:
     return writeBody(*exchange);
   case AnswerStage::Broken:
-    return -1;
+    return breakOff(*exchange);
   case AnswerStage::Refusal:
     return writeRefusal(*exchange);
   }
@@ -306,7 +320,8 @@
   bool ok = head.status(answer.Status) && head.fields(answer.Fields);
   bool bodyless =
       exchange.Method == "HEAD" || answer.Status == 204 || answer.Status == 304;
-  exchange.AnswerChunked = !bodyless && !answer.Length && !isHttp2(wsi);
+  exchange.AnswerChunked =
+      !bodyless && !answer.Length && !isHttp2(wsi) && !exchange.OldCaller;
   if (answer.Length)
     ok = ok && head.length(*answer.Length);
   if (exchange.AnswerChunked)
@@ -335,13 +350,23 @@
     return -1;
   call.Answer.consume(part.size());
   if (last)
-    return endTransaction(exchange, true);
+    return endTransaction(exchange, !exchange.OldCaller);
   Back.resume(call);
   if (!call.Answer.unread().empty() || exchange.AnswerWhole)
     wantWrite(exchange);
   return 0;
 }
 
+int FrontHttp::breakOff(const Exchange &exchange) {
+  // An answer to HTTP/1.0 ends with the connection: only a reset tells a
+  // broken one from a whole one.
+  linger abort{1, 0};
+  if (exchange.OldCaller)
+    setsockopt(lws_get_socket_fd(exchange.Caller), SOL_SOCKET, SO_LINGER,
+               &abort, sizeof(abort));
+  return -1;
+}
+
 int FrontHttp::writeRefusal(Exchange &exchange) {
   uint32_t status = refusalStatus(exchange.Refusal);
   std::string text = problemDocument(exchange.Refusal, exchange.Handle);
@@ -349,7 +374,8 @@
           "request-refused",
           {{"request", requestId(exchange.Handle)},
            {"refusal", refusalSpec(exchange.Refusal).Name}});
-  bool bodyUnread = exchange.receivedBytes() < exchange.BodyBytes;
+  bool reuse = !exchange.FramingInDoubt &&
+               exchange.receivedBytes() >= exchange.BodyBytes;
   HeadWriter head(exchange.Caller);
   bool ok = head.status(status) &&
             head.field("content-type:", "application/problem+json") &&
@@ -357,6 +383,8 @@
   if (exchange.RetryAfterSeconds > 0)
     ok = ok &&
          head.field("retry-after:", std::to_string(exchange.RetryAfterSeconds));
+  if (!reuse && !isHttp2(exchange.Caller))
+    ok = ok && head.field("connection:", "close");
   std::string_view body = text;
   if (exchange.Method == "HEAD")
     body = {};
@@ -364,7 +392,7 @@
        sendBody(exchange.Caller, body, LWS_WRITE_HTTP_FINAL);
   if (!ok)
     return -1;
-  return endTransaction(exchange, !bodyUnread);
+  return endTransaction(exchange, reuse);
 }
 
 int FrontHttp::endTransaction(Exchange &exchange, bool reuse) {
--- a/src/front_http.h
+++ b/src/front_http.h
@@ -38,6 +38,7 @@
 
   void answerGrew(Exchange &exchange) override;
   void bodyDrained(Exchange &exchange) override;
+  void bodyWanted(Exchange &exchange) override;
 
   /// Entry of the HTTP library.
   static int callback(lws *wsi, lws_callback_reasons reason, void *user,
@@ -61,6 +62,7 @@
   int refuseEarly(lws *wsi, Exchange &exchange, RefusalKind kind);
   int writeHead(Exchange &exchange);
   int writeBody(Exchange &exchange);
+  int breakOff(const Exchange &exchange);
   int writeRefusal(Exchange &exchange);
   int endTransaction(Exchange &exchange, bool reuse);
   Exchange *exchangeOf(lws *wsi);
--- a/src/http_headers.cpp
+++ b/src/http_headers.cpp
@@ -1,6 +1,8 @@
 #include "http_headers.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <libwebsockets.h>
 
 namespace guavasail {
@@ -67,21 +69,44 @@
   if (lws_hdr_total_length(wsi, token) <= 0)
     return;
   const auto *name = reinterpret_cast<const char *>(lws_token_to_string(token));
-  for (int n = 0;; ++n) {
-    int length = lws_hdr_fragment_length(wsi, token, n);
-    if (length <= 0)
-      return;
-    std::string value(static_cast<size_t>(length) + 1, '\0');
-    if (lws_hdr_copy_fragment(wsi, value.data(), length + 1, token, n) < 0)
-      return;
-    value.pop_back();
-    fields.push_back({name, std::move(value)});
+  int lines = headerLines(wsi, token);
+  for (int n = 0; n < lines; ++n)
+    fields.push_back({name, headerLine(wsi, token, n)});
+}
+
+bool isControl(char c) {
+  auto byte = static_cast<unsigned char>(c);
+  return (byte < 0x20 && byte != '\t') || byte == 0x7f;
+}
+
+bool isClean(const HeaderField &field) {
+  return std::none_of(field.Value.begin(), field.Value.end(), &isControl);
+}
+
+std::string_view trim(std::string_view text) {
+  constexpr std::string_view Blank = " \t";
+  size_t from = text.find_first_not_of(Blank);
+  if (from == std::string_view::npos)
+    return {};
+  return text.substr(from, text.find_last_not_of(Blank) - from + 1);
+}
+
+/// Removes the headers that a Connection header names.
+void dropNamed(std::string_view list, std::vector<HeaderField> &fields) {
+  while (!list.empty()) {
+    size_t comma = std::min(list.find(','), list.size());
+    std::string name(trim(list.substr(0, comma)));
+    list.remove_prefix(std::min(comma + 1, list.size()));
+    name.push_back(':');
+    std::erase_if(fields, [&](const HeaderField &it) {
+      return equalIgnoringCase(it.Name, name);
+    });
   }
 }
 
-std::vector<HeaderField> copyFields(lws *wsi,
-                                    std::span<const lws_token_indexes> tokens,
-                                    std::span<const std::string_view> custom) {
+std::optional<std::vector<HeaderField>>
+copyFields(lws *wsi, std::span<const lws_token_indexes> tokens,
+           std::span<const std::string_view> custom) {
   std::vector<HeaderField> fields;
   for (lws_token_indexes token : tokens)
     copyToken(wsi, token, fields);
@@ -90,11 +115,45 @@
     if (!value.empty())
       fields.push_back({std::string(name), std::move(value)});
   }
+  if (!std::all_of(fields.begin(), fields.end(), &isClean))
+    return std::nullopt;
+  int lines = headerLines(wsi, WSI_TOKEN_CONNECTION);
+  for (int n = 0; n < lines; ++n)
+    dropNamed(headerLine(wsi, WSI_TOKEN_CONNECTION, n), fields);
   return fields;
 }
 
 } // namespace
 
+std::string headerLine(lws *wsi, int token, int n) {
+  auto index = static_cast<lws_token_indexes>(token);
+  int length = lws_hdr_fragment_length(wsi, index, n);
+  if (length <= 0)
+    return {};
+  std::string value(static_cast<size_t>(length) + 1, '\0');
+  if (lws_hdr_copy_fragment(wsi, value.data(), length + 1, index, n) < 0)
+    return {};
+  value.pop_back();
+  // The library keeps the blanks of repeated lines.
+  return std::string(trim(value));
+}
+
+int headerLines(lws *wsi, int token) {
+  auto index = static_cast<lws_token_indexes>(token);
+  int n = 0;
+  while (lws_hdr_fragment_length(wsi, index, n) > 0)
+    ++n;
+  return n;
+}
+
+bool equalIgnoringCase(std::string_view a, std::string_view b) {
+  auto same = [](char x, char y) {
+    return std::tolower(static_cast<unsigned char>(x)) ==
+           std::tolower(static_cast<unsigned char>(y));
+  };
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), same);
+}
+
 std::string customHeader(lws *wsi, std::string_view name) {
   int n = static_cast<int>(name.size());
   int length = lws_hdr_custom_length(wsi, name.data(), n);
@@ -107,11 +166,11 @@
   return value;
 }
 
-std::vector<HeaderField> requestFields(lws *wsi) {
+std::optional<std::vector<HeaderField>> requestFields(lws *wsi) {
   return copyFields(wsi, RequestTokens, RequestCustom);
 }
 
-std::vector<HeaderField> answerFields(lws *wsi) {
+std::optional<std::vector<HeaderField>> answerFields(lws *wsi) {
   return copyFields(wsi, AnswerTokens, AnswerCustom);
 }
 
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -5,6 +5,7 @@
 
 #include "exchange.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,11 +34,22 @@
 /// \returns the value of the header \p name, which ends with a colon.
 std::string customHeader(lws *wsi, std::string_view name);
 
+/// \returns line \p n of a known header, empty if there is none.
+std::string headerLine(lws *wsi, int token, int n = 0);
+
+/// \returns the number of lines of a known header.
+int headerLines(lws *wsi, int token);
+
+/// \returns true if \p a and \p b differ at most in the case of letters.
+bool equalIgnoringCase(std::string_view a, std::string_view b);
+
 /// Copies the end-to-end headers of a caller's request.
-std::vector<HeaderField> requestFields(lws *wsi);
+/// \returns nothing if a value holds a byte that no header may hold.
+std::optional<std::vector<HeaderField>> requestFields(lws *wsi);
 
 /// Copies the end-to-end headers of a backend server's answer.
-std::vector<HeaderField> answerFields(lws *wsi);
+/// \returns nothing if a value holds a byte that no header may hold.
+std::optional<std::vector<HeaderField>> answerFields(lws *wsi);
 
 /// Appends header lines to a head that is being written.
 /// \param at write position, advanced.
--- a/src/http_request.cpp
+++ b/src/http_request.cpp
@@ -7,6 +7,9 @@
 #include <array>
 #include <charconv>
 #include <libwebsockets.h>
+#include <span>
+#include <string>
+#include <vector>
 
 namespace guavasail {
 
@@ -55,18 +58,6 @@
   return out;
 }
 
-/// \returns one line of a header, empty if there is none.
-std::string headerLine(lws *wsi, lws_token_indexes token, int n) {
-  int length = lws_hdr_fragment_length(wsi, token, n);
-  if (length <= 0)
-    return {};
-  std::string value(static_cast<size_t>(length) + 1, '\0');
-  if (lws_hdr_copy_fragment(wsi, value.data(), length + 1, token, n) < 0)
-    return {};
-  value.pop_back();
-  return value;
-}
-
 template <typename Integer>
 std::optional<Integer> parseNumber(std::string_view text) {
   Integer value = 0;
@@ -95,15 +86,17 @@
 std::optional<RefusalKind> parseLength(lws *wsi, const MethodRow &method,
                                        const Limits &bounds,
                                        Exchange &exchange) {
-  if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0)
+  int lengths = headerLines(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  bool coded = headerLines(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
+  if (lengths > 1 || (lengths == 1 && coded))
+    return RefusalKind::MalformedRequest;
+  if (coded)
     return RefusalKind::LengthRequired;
-  std::string line = headerLine(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH, 0);
-  if (line.empty())
+  if (lengths == 0)
     return method.MayHaveBody ? std::optional(RefusalKind::LengthRequired)
                               : std::nullopt;
-  if (lws_hdr_fragment_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH, 1) > 0)
-    return RefusalKind::MalformedRequest;
-  auto length = parseNumber<uint64_t>(line);
+  auto length =
+      parseNumber<uint64_t>(headerLine(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH));
   if (!length)
     return RefusalKind::MalformedRequest;
   if (*length > bounds.BodyBytes)
@@ -112,31 +105,108 @@
   return std::nullopt;
 }
 
-/// Takes the key out of the query, if it is there, and appends the rest to the
-/// target.
-std::string takeQuery(lws *wsi, Exchange &exchange) {
-  std::string key;
-  char separator = '?';
-  for (int n = 0;; ++n) {
+/// The keys of one request. All places where it names one have to agree.
+class KeyFinder {
+public:
+  void add(std::string_view key) {
+    if (key.empty())
+      return;
+    Differ |= !Key.empty() && Key != key;
+    Key = key;
+  }
+
+  [[nodiscard]] bool differ() const { return Differ; }
+  [[nodiscard]] const std::string &key() const { return Key; }
+
+  /// \returns true if \p text holds the key.
+  [[nodiscard]] bool within(std::string_view text) const {
+    return !Key.empty() && text.find(Key) != std::string_view::npos;
+  }
+
+private:
+  std::string Key;
+  bool Differ = false;
+};
+
+/// Takes keys out of the query.
+/// \returns the other parts of the query, decoded.
+std::vector<std::string> takeQuery(lws *wsi, KeyFinder &keys) {
+  std::vector<std::string> parts;
+  int count = headerLines(wsi, WSI_TOKEN_HTTP_URI_ARGS);
+  for (int n = 0; n < count; ++n) {
     std::string part = headerLine(wsi, WSI_TOKEN_HTTP_URI_ARGS, n);
-    if (part.empty())
-      return key;
-    if (part.starts_with(KeyParameter)) {
-      key = part.substr(KeyParameter.size());
+    std::string_view name =
+        std::string_view(part).substr(0, KeyParameter.size());
+    if (equalIgnoringCase(name, KeyParameter))
+      keys.add(std::string_view(part).substr(KeyParameter.size()));
+    else
+      parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
+void takeHeaderKeys(lws *wsi, KeyFinder &keys) {
+  int count = headerLines(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
+  for (int n = 0; n < count; ++n) {
+    std::string line = headerLine(wsi, WSI_TOKEN_HTTP_AUTHORIZATION, n);
+    std::string_view text = line;
+    if (equalIgnoringCase(text.substr(0, BearerPrefix.size()), BearerPrefix))
+      keys.add(text.substr(BearerPrefix.size()));
+  }
+  keys.add(customHeader(wsi, KeyHeader));
+}
+
+/// Builds the target from the parts that do not hold the key.
+void buildTarget(std::span<const std::string> parts, const KeyFinder &keys,
+                 Exchange &exchange) {
+  exchange.Target = escapePath(exchange.Path);
+  char separator = '?';
+  for (const std::string &part : parts) {
+    if (keys.within(part))
       continue;
-    }
     exchange.Target.push_back(separator);
     exchange.Target += escape(part, QueryPunctuation);
     separator = '&';
   }
 }
 
-/// \returns the caller's key from a header, empty if there is none.
-std::string headerKey(lws *wsi) {
-  std::string bearer = headerLine(wsi, WSI_TOKEN_HTTP_AUTHORIZATION, 0);
-  if (bearer.starts_with(BearerPrefix))
-    return bearer.substr(BearerPrefix.size());
-  return customHeader(wsi, KeyHeader);
+/// Reads the host, from HTTP/2's own header if it is there.
+bool parseHost(lws *wsi, Exchange &exchange) {
+  exchange.OldCaller = headerLine(wsi, WSI_TOKEN_HTTP).ends_with("1.0");
+  int lines = headerLines(wsi, WSI_TOKEN_HOST);
+  exchange.Host = headerLine(wsi, WSI_TOKEN_HTTP_COLON_AUTHORITY);
+  if (exchange.Host.empty())
+    exchange.Host = headerLine(wsi, WSI_TOKEN_HOST);
+  return lines <= 1 && (exchange.OldCaller || !exchange.Host.empty());
+}
+
+/// Reads the key, the target without it, and the headers to pass on.
+std::optional<RefusalKind> parseFields(lws *wsi, Exchange &exchange,
+                                       RequestArrived &event) {
+  KeyFinder keys;
+  std::vector<std::string> parts = takeQuery(wsi, keys);
+  takeHeaderKeys(wsi, keys);
+  auto fields = requestFields(wsi);
+  exchange.FramingInDoubt = !fields;
+  if (!fields || keys.differ() || keys.within(exchange.Path))
+    return RefusalKind::MalformedRequest;
+  exchange.Fields = std::move(*fields);
+  std::erase_if(exchange.Fields,
+                [&](const HeaderField &it) { return keys.within(it.Value); });
+  buildTarget(parts, keys, exchange);
+  event.Key = digestOf(keys.key());
+  return std::nullopt;
+}
+
+std::optional<RefusalKind> parseTimeout(lws *wsi, RequestArrived &event) {
+  std::string timeout = customHeader(wsi, TimeoutHeader);
+  if (timeout.empty())
+    return std::nullopt;
+  auto millis = parseNumber<uint32_t>(timeout);
+  if (!millis || *millis == 0)
+    return RefusalKind::MalformedRequest;
+  event.Allowed = std::chrono::milliseconds(*millis);
+  return std::nullopt;
 }
 
 } // namespace
@@ -146,32 +216,27 @@
                                         Exchange &exchange,
                                         RequestArrived &event) {
   const MethodRow *method = findMethod(wsi);
+  exchange.FramingInDoubt = true;
   if (!method)
     return RefusalKind::MethodUnsupported;
   exchange.Method = method->Name;
   exchange.Path = path;
-  exchange.Target = escapePath(path);
-  exchange.Host = headerLine(wsi, WSI_TOKEN_HOST, 0);
-  std::string queryKey = takeQuery(wsi, exchange);
-  std::string key = headerKey(wsi);
-  exchange.Fields = requestFields(wsi);
+  if (!parseHost(wsi, exchange))
+    return RefusalKind::MalformedRequest;
   if (auto fault = parseLength(wsi, *method, bounds, exchange))
     return fault;
+  exchange.FramingInDoubt = false;
   exchange.MayHaveBody = method->MayHaveBody || exchange.BodyBytes > 0;
+  exchange.ExpectsContinue =
+      equalIgnoringCase(headerLine(wsi, WSI_TOKEN_HTTP_EXPECT), "100-continue");
+  if (auto fault = parseFields(wsi, exchange, event))
+    return fault;
   event.Request = exchange.Handle;
   event.Path = exchange.Path;
   event.Repeat = method->Repeat;
-  event.Key = digestOf(key.empty() ? queryKey : key);
   event.IdempotencyKey = digestOf(customHeader(wsi, IdempotencyHeader));
   event.BodyBytes = exchange.BodyBytes;
-  std::string timeout = customHeader(wsi, TimeoutHeader);
-  if (timeout.empty())
-    return std::nullopt;
-  auto millis = parseNumber<uint32_t>(timeout);
-  if (!millis || *millis == 0)
-    return RefusalKind::MalformedRequest;
-  event.Allowed = std::chrono::milliseconds(*millis);
-  return std::nullopt;
+  return parseTimeout(wsi, event);
 }
 
 std::string escapePath(std::string_view text) {
--- /dev/null
+++ b/tests/edge_harness.h
@@ -0,0 +1,136 @@
+/// \file
+/// Runs the real binary between a raw caller and a raw backend server. All
+/// waits are bounded; nothing is timed.
+#ifndef GUAVASAIL_TESTS_EDGE_HARNESS_H
+#define GUAVASAIL_TESTS_EDGE_HARNESS_H
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <sys/types.h>
+#include <vector>
+
+namespace guavasail {
+
+/// The key that the daemon under test accepts.
+inline constexpr std::string_view EdgeKey = "edge-secret-key";
+
+/// One TCP connection on the loopback interface.
+class Wire {
+public:
+  explicit Wire(int fd) : Socket(fd) {}
+  Wire(Wire &&other) noexcept;
+  Wire &operator=(Wire &&other) noexcept;
+  ~Wire() { close(); }
+
+  /// Connects to a port of 127.0.0.1.
+  static Wire dial(uint16_t port);
+
+  /// Sends all bytes; a peer that is gone is no error.
+  void send(std::string_view bytes) const;
+  /// Waits for bytes and appends them to `Received`.
+  /// \returns false if the peer closed or the bound passed.
+  bool receive();
+  void readToEnd();
+  void close();
+  [[nodiscard]] int fd() const { return Socket; }
+
+  std::string Received;
+  /// The peer ended the connection.
+  bool Ended = false;
+
+private:
+  int Socket;
+};
+
+/// A listening socket with a port that the system chose.
+class Listener {
+public:
+  Listener();
+  ~Listener();
+  Listener(const Listener &) = delete;
+  Listener &operator=(const Listener &) = delete;
+
+  [[nodiscard]] uint16_t port() const { return Port; }
+  [[nodiscard]] int fd() const { return Socket; }
+  /// Waits for a connection.
+  [[nodiscard]] Wire accept() const;
+
+private:
+  int Socket;
+  uint16_t Port = 0;
+};
+
+/// A program that this test started.
+class Child {
+public:
+  explicit Child(std::vector<std::string> words, const std::string &errors);
+  ~Child();
+  Child(const Child &) = delete;
+  Child &operator=(const Child &) = delete;
+
+  void terminate() const;
+  /// \returns the exit status, or -1 if it did not end by itself.
+  int wait();
+
+private:
+  pid_t Id = -1;
+  int Status = -1;
+};
+
+/// What a daemon under test differs in.
+struct EdgeOptions {
+  /// Lines of the [daemon] and [limits] tables.
+  std::string Daemon;
+  std::string Limits;
+  uint32_t RouteTimeoutMs = 4000;
+};
+
+/// A daemon with one service of one instance, which the test plays.
+class EdgeDaemon {
+public:
+  explicit EdgeDaemon(const EdgeOptions &options = {});
+
+  [[nodiscard]] Wire dial() const { return Wire::dial(Port); }
+  [[nodiscard]] uint16_t port() const { return Port; }
+  /// \returns all that the daemon logged so far.
+  [[nodiscard]] std::string log() const;
+  /// \returns a file name in the test's own folder.
+  [[nodiscard]] std::string file(std::string_view name) const;
+
+  Listener Backend;
+  std::unique_ptr<Child> Process;
+
+private:
+  uint16_t Port;
+  std::string Folder;
+};
+
+/// \returns true once \p text holds a whole request.
+bool wholeRequest(std::string_view text);
+/// \returns true once \p text holds a whole answer to \p method.
+bool wholeAnswer(std::string_view text, std::string_view method);
+
+/// How the instance answers.
+struct BackendScript {
+  std::string_view Answer;
+  /// Ends the connection after the answer.
+  bool Close = false;
+};
+
+/// What came of one request.
+struct EdgeOutcome {
+  /// Requests as the instance saw them.
+  std::vector<std::string> Seen;
+  bool Whole = false;
+};
+
+/// Plays the instance until the caller has a whole answer or was cut off.
+EdgeOutcome playBackend(EdgeDaemon &daemon, Wire &caller,
+                        std::string_view method, const BackendScript &script);
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/tests/edge_test.cpp
@@ -0,0 +1,447 @@
+#include "edge_harness.h"
+
+#include <gtest/gtest.h>
+
+namespace guavasail {
+
+namespace {
+
+constexpr std::string_view Ok =
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+constexpr std::string_view Auth = "authorization: Bearer edge-secret-key\r\n";
+
+/// \returns a request with the key and further header lines.
+std::string ask(std::string_view method, std::string_view target,
+                std::string_view fields = "", std::string_view body = "",
+                std::string_view key = Auth) {
+  std::string text(method);
+  text.append(" ").append(target).append(" HTTP/1.1\r\nhost: h\r\n");
+  return text.append(key).append(fields).append("\r\n").append(body);
+}
+
+/// \returns the status of an answer, empty if there is none.
+std::string_view statusOf(std::string_view answer) {
+  size_t at = answer.find(' ');
+  return at == std::string_view::npos ? "" : answer.substr(at + 1, 3);
+}
+
+/// Requests that must be refused before the instance sees a byte.
+struct RefusedCase {
+  std::string_view Name;
+  std::string Request;
+  std::string_view Status;
+  /// The connection must not be used again: its framing is in doubt.
+  bool Closes = false;
+  std::string_view Limits = "";
+  /// The HTTP library refuses it in its own words or by closing.
+  bool ByLibrary = false;
+};
+
+const RefusedCase RefusedCases[] = {
+    {"TwoLengths",
+     ask("POST", "/r/x", "content-length: 3\r\ncontent-length: 4\r\n", "abcd"),
+     "400", true},
+    {"TwoEqualLengths",
+     ask("POST", "/r/x", "content-length: 3\r\ncontent-length: 3\r\n", "abc"),
+     "400", true},
+    {"LengthList", ask("POST", "/r/x", "content-length: 3, 3\r\n", "abc"),
+     "400", true},
+    {"SignedLength", ask("POST", "/r/x", "content-length: +3\r\n", "abc"),
+     "400", true},
+    {"HexadecimalLength", ask("POST", "/r/x", "content-length: 0x3\r\n", "abc"),
+     "400", true},
+    {"LengthWithChunked",
+     ask("POST", "/r/x", "content-length: 3\r\ntransfer-encoding: chunked\r\n",
+         "0\r\n\r\n"),
+     "400", true},
+    {"BadChunk",
+     ask("POST", "/r/x", "transfer-encoding: chunked\r\n", "zz\r\nabc\r\n"),
+     "411", true},
+    {"SmuggledGet",
+     ask("POST", "/r/x", "transfer-encoding: chunked\r\n",
+         "0\r\n\r\n" + ask("GET", "/r/smuggled")),
+     "411", true},
+    {"SpaceBeforeColon", ask("POST", "/r/x", "content-length : 3\r\n", "abc"),
+     "411", true},
+    {"NulInHeader",
+     ask("GET", "/r/x", std::string_view("user-agent: a\0b\r\n", 17)), "400",
+     true},
+    {"ControlByteInValue", ask("GET", "/r/x", "user-agent: a\x01z\r\n"), "400",
+     true},
+    {"NoHost", "GET /r/x HTTP/1.1\r\n" + std::string(Auth) + "\r\n", "400",
+     true},
+    {"TwoHosts", ask("GET", "/r/x", "host: other\r\n"), "400", true},
+    {"UnknownMethod", ask("BREW", "/r/x"), "403", true, "", true},
+    {"HeadTooLarge",
+     ask("GET", "/r/x", "user-agent: " + std::string(40000, 'a') + "\r\n"), "",
+     true, "", true},
+    {"BodyTooLarge", ask("POST", "/r/x", "content-length: 2000\r\n"), "413",
+     true, "body_bytes = 1000"},
+    {"UnknownRoute", ask("GET", "/none"), "404"},
+    {"NoKey", ask("GET", "/r/x", "", "", ""), "401"},
+    {"WrongKey", ask("GET", "/r/x", "x-api-key: other\r\n", "", ""), "401"},
+    {"DifferentKeysInHeaders", ask("GET", "/r/x", "x-api-key: other\r\n"),
+     "400"},
+    {"DifferentKeyInQuery", ask("GET", "/r/x?api_key=other"), "400"},
+    {"DifferentAuthorizations",
+     ask("GET", "/r/x", "authorization: Bearer other\r\n"), "400"},
+    {"BadTimeout", ask("GET", "/r/x", "x-request-timeout-ms: soon\r\n"), "400"},
+};
+
+void PrintTo(const RefusedCase &row, std::ostream *out) { *out << row.Name; }
+
+class EdgeRefused : public testing::TestWithParam<RefusedCase> {};
+
+TEST_P(EdgeRefused, IsNotForwarded) {
+  const RefusedCase &row = GetParam();
+  EdgeDaemon daemon({.Daemon = "", .Limits = std::string(row.Limits)});
+  Wire caller = daemon.dial();
+  caller.send(row.Request);
+  EdgeOutcome outcome = playBackend(daemon, caller, "GET", {Ok});
+  EXPECT_TRUE(outcome.Seen.empty()) << outcome.Seen.front();
+  EXPECT_EQ(caller.Received.find("HTTP/1."),
+            row.Status.empty() ? std::string::npos : 0);
+  EXPECT_EQ(statusOf(caller.Received), row.Status) << caller.Received;
+  if (!row.ByLibrary) {
+    EXPECT_NE(caller.Received.find("\"not-run\""), std::string::npos);
+  }
+  EXPECT_EQ(caller.Received.find(EdgeKey), std::string::npos);
+  if (!row.Closes)
+    return;
+  caller.readToEnd();
+  EXPECT_TRUE(caller.Ended);
+  EXPECT_EQ(caller.Received.find("HTTP/1.1", 1), std::string::npos)
+      << caller.Received;
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EdgeRefused, testing::ValuesIn(RefusedCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+/// Requests that reach the instance.
+struct ForwardedCase {
+  std::string_view Name;
+  std::string_view Method;
+  std::string Request;
+  BackendScript Script;
+  /// Start of the caller's answer.
+  std::string_view Status;
+  /// Texts that the caller's answer holds or lacks.
+  std::vector<std::string_view> Answer = {};
+  std::vector<std::string_view> AnswerLacks = {};
+  /// Texts that the instance's view holds or lacks.
+  std::vector<std::string_view> Seen = {};
+  std::vector<std::string_view> SeenLacks = {};
+  bool Whole = true;
+};
+
+const ForwardedCase ForwardedCases[] = {
+    {"KeyInAuthorization", "GET", ask("GET", "/r/x"), {Ok}, "200", {"hello"}},
+    {"KeyInOtherCase",
+     "GET",
+     ask("GET", "/r/x", "", "", "AUTHORIZATION: bearer edge-secret-key\r\n"),
+     {Ok},
+     "200"},
+    {"KeyInXApiKey",
+     "GET",
+     ask("GET", "/r/x", "", "", "X-Api-Key: edge-secret-key\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {},
+     {"x-api-key", "X-Api-Key"}},
+    {"KeyInQuery",
+     "GET",
+     ask("GET", "/r/x?a=1&api_key=edge-secret-key&b=2", "", "", ""),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"/r/x?a=1&b=2 "},
+     {"api_key"}},
+    {"KeyInEncodedQuery",
+     "GET",
+     ask("GET", "/r/x?api%5Fkey=edge%2Dsecret-key", "", "", ""),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"/r/x "}},
+    {"KeyInMixedCaseQuery",
+     "GET",
+     ask("GET", "/r/x?API_Key=edge-secret-key", "", "", ""),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"/r/x "}},
+    {"SameKeyEverywhere",
+     "GET",
+     ask("GET", "/r/x?api_key=edge-secret-key",
+         "authorization: Bearer edge-secret-key\r\n"
+         "x-api-key: edge-secret-key\r\n"),
+     {Ok},
+     "200"},
+    {"CookieIsPassed",
+     "GET",
+     ask("GET", "/r/x", "cookie: a=b; c=d\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"a=b; c=d"}},
+    {"QueryIsPassed",
+     "GET",
+     ask("GET", "/r/a%20b?q=x%26y&z=%2B"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"/r/a%20b?q=x%26y&z=%2B "}},
+    {"HopByHop",
+     "GET",
+     ask("GET", "/r/x",
+         "connection: x-request-id, te\r\nx-request-id: 7\r\nte: trailers\r\n"
+         "keep-alive: timeout=5\r\nproxy-authorization: Basic eA==\r\n"
+         "traceparent: 00-1\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"traceparent: 00-1"},
+     {"x-request-id", "trailers", "timeout=5", "Basic"}},
+    {"HopByHopAnswer",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: etag\r\n"
+      "etag: \"e\"\r\nkeep-alive: timeout=5\r\nvary: accept\r\n\r\nok"},
+     "200",
+     {"vary: accept"},
+     {"etag", "timeout=5"}},
+    {"Head",
+     "HEAD",
+     ask("HEAD", "/r/x"),
+     {"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"},
+     "200",
+     {"content-length: 5"},
+     {"chunked"}},
+    {"NoContent",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 204 No Content\r\n\r\n"},
+     "204",
+     {},
+     {"chunked", "content-length"}},
+    {"NotModified",
+     "GET",
+     ask("GET", "/r/x", "if-none-match: \"e\"\r\n"),
+     {"HTTP/1.1 304 Not Modified\r\netag: \"e\"\r\n\r\n"},
+     "304",
+     {"etag: \"e\""},
+     {"chunked"},
+     {"if-none-match: \"e\""}},
+    {"Range",
+     "GET",
+     ask("GET", "/r/x", "range: bytes=1-3\r\nif-range: \"e\"\r\n"),
+     {"HTTP/1.1 206 Partial Content\r\ncontent-range: bytes 1-3/5\r\n"
+      "content-length: 3\r\n\r\nell"},
+     "206",
+     {"content-range: bytes 1-3/5", "\r\n\r\nell"},
+     {},
+     {"range: bytes=1-3", "if-range: \"e\""}},
+    {"ExpectContinue",
+     "POST",
+     ask("POST", "/r/x", "expect: 100-continue\r\ncontent-length: 3\r\n",
+         "abc"),
+     {Ok},
+     "",
+     {"HTTP/1.1 200 OK"},
+     {},
+     {"\r\n\r\nabc"},
+     {"expect"}},
+    {"EmptyPost",
+     "POST",
+     ask("POST", "/r/x", "content-length: 0\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"content-length: 0"}},
+    {"IdempotencyKeyIsPassed",
+     "POST",
+     ask("POST", "/r/x", "idempotency-key: i7\r\ncontent-length: 0\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"idempotency-key: i7"}},
+    {"TimeLeftIsPassed",
+     "GET",
+     ask("GET", "/r/x", "x-request-timeout-ms: 3000\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"x-request-timeout-ms: "}},
+    {"ChunkedAnswer",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"},
+     "200",
+     {"abc"},
+     {"content-length"}},
+    {"Redirect",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 302 Found\r\nlocation: /r/other\r\ncontent-length: 0\r\n\r\n"},
+     "302",
+     {"location: /r/other"}},
+    {"InterimAnswer",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
+      "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"},
+     "502",
+     {"answer-incomplete"}},
+    {"BareCarriageReturn",
+     "GET",
+     ask("GET", "/r/x", "user-agent: a\rreferer: b\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"user-agent: a\r\n"},
+     {"referer"}},
+    {"FoldedLine",
+     "GET",
+     ask("GET", "/r/x", "user-agent: a\r\n referer: b\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"user-agent: a\r\n"},
+     {"referer"}},
+    {"FirstIdempotencyKeyCounts",
+     "POST",
+     ask("POST", "/r/x",
+         "content-length: 0\r\nidempotency-key: a\r\nidempotency-key: b\r\n"),
+     {Ok},
+     "200",
+     {},
+     {},
+     {"idempotency-key: a"},
+     {"idempotency-key: b"}},
+    {"OldCaller",
+     "GET",
+     "GET /r/x HTTP/1.0\r\nhost: h\r\n" + std::string(Auth) + "\r\n",
+     {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\n\r\n"},
+     "200",
+     {"hello"},
+     {"chunked", "5\r\n"},
+     {},
+     {},
+     false},
+    {"MalformedAnswer",
+     "GET",
+     ask("GET", "/r/x"),
+     {"what\r\n\r\n", true},
+     "502",
+     {"answer-incomplete"}},
+    {"MalformedAnswerToPost",
+     "POST",
+     ask("POST", "/r/x", "content-length: 0\r\n"),
+     {"what\r\n\r\n", true},
+     "504",
+     {"outcome-unknown"}},
+    {"ClosedWithoutAnswer",
+     "POST",
+     ask("POST", "/r/x", "content-length: 0\r\n"),
+     {"", true},
+     "504",
+     {"outcome-unknown"}},
+    {"TwoAnswerLengths",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 3\r\n\r\nhello",
+      true},
+     "502",
+     {"answer-incomplete"}},
+    {"TruncatedLength",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello", true},
+     "",
+     {},
+     {},
+     {},
+     {},
+     false},
+    {"TruncatedChunks",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+      true},
+     "",
+     {},
+     {"\r\n0\r\n\r\n"},
+     {},
+     {},
+     false},
+    {"UnframedAnswer",
+     "GET",
+     ask("GET", "/r/x"),
+     {"HTTP/1.1 200 OK\r\n\r\nhello", true},
+     "",
+     {},
+     {"\r\n0\r\n\r\n"},
+     {},
+     {},
+     false},
+};
+
+void PrintTo(const ForwardedCase &row, std::ostream *out) { *out << row.Name; }
+
+class EdgeForwarded : public testing::TestWithParam<ForwardedCase> {};
+
+TEST_P(EdgeForwarded, KeepsTheMessage) {
+  const ForwardedCase &row = GetParam();
+  EdgeDaemon daemon;
+  Wire caller = daemon.dial();
+  caller.send(row.Request);
+  EdgeOutcome outcome = playBackend(daemon, caller, row.Method, row.Script);
+  ASSERT_FALSE(outcome.Seen.empty()) << caller.Received;
+  EXPECT_EQ(outcome.Whole, row.Whole) << caller.Received;
+  if (!row.Status.empty()) {
+    EXPECT_EQ(statusOf(caller.Received), row.Status) << caller.Received;
+  }
+  for (std::string_view text : row.Answer)
+    EXPECT_NE(caller.Received.find(text), std::string::npos)
+        << text << " in " << caller.Received;
+  for (std::string_view text : row.AnswerLacks)
+    EXPECT_EQ(caller.Received.find(text), std::string::npos)
+        << text << " in " << caller.Received;
+  if (row.Method == "POST") {
+    EXPECT_EQ(outcome.Seen.size(), 1u);
+  }
+  for (const std::string &seen : outcome.Seen) {
+    EXPECT_EQ(seen.find(EdgeKey), std::string::npos) << seen;
+    for (std::string_view text : row.Seen)
+      EXPECT_NE(seen.find(text), std::string::npos) << text << " in " << seen;
+    for (std::string_view text : row.SeenLacks)
+      EXPECT_EQ(seen.find(text), std::string::npos) << text << " in " << seen;
+  }
+  EXPECT_EQ(daemon.log().find(EdgeKey), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EdgeForwarded,
+                         testing::ValuesIn(ForwardedCases), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+} // namespace
+
+} // namespace guavasail
