--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -6,6 +6,7 @@
 
 #include "guavasail/clock.h"
 #include "guavasail/handle.h"
+#include "guavasail/member.h"
 #include "guavasail/peer_message.h"
 #include "guavasail/refusal.h"
 
@@ -61,12 +62,18 @@
   PeerBody Body;
 };
 
+/// This VM's belief of another one, or of its own state, changed.
+struct MemberChanged {
+  VmHandle Vm;
+  VmState State = VmState::Unknown;
+};
+
 /// No request is in progress and the VM was asked to stop.
 struct DrainCompleted {};
 
-using Effect =
-    std::variant<StartAttempt, CancelAttempt, RelayAnswer, FinishAnswer,
-                 AbortAnswer, RefuseRequest, SendPeer, DrainCompleted>;
+using Effect = std::variant<StartAttempt, CancelAttempt, RelayAnswer,
+                            FinishAnswer, AbortAnswer, RefuseRequest, SendPeer,
+                            MemberChanged, DrainCompleted>;
 
 /// Collects effects. The memory is used again for each event.
 class EffectBuffer {
--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -5,6 +5,7 @@
 
 #include "guavasail/catalog.h"
 #include "guavasail/limits.h"
+#include "guavasail/member.h"
 
 #include <boost/outcome/result.hpp>
 #include <cstdint>
@@ -68,11 +69,22 @@
   std::string LogFormatName = "text";
 };
 
+/// How this daemon speaks with the others.
+struct PeerSettings {
+  /// Environment variable that holds the fleet's secret.
+  std::string SecretEnv = "GUAVASAIL_PEER_SECRET";
+  /// One that holds a second accepted secret while it is changed.
+  std::string PreviousSecretEnv;
+};
+
 /// Everything in a settings file.
 struct Settings {
   DaemonSettings Daemon;
   Limits Bounds;
   CatalogSpec Catalog;
+  PeerSettings Peers;
+  /// The fleet as known at the start, this VM included.
+  std::vector<VmSpec> Vms;
 };
 
 /// Reads a settings file.
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -115,6 +115,10 @@
 for group in "$@"; do
   case $group in
     path) benchPath ;;
+    fleet)
+      benchPrograms fleet
+      scripts/smoke.sh build/guavasail
+      ;;
     *) benchPrograms "$group" ;;
   esac
 done
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <ctime>
 #include <sodium.h>
 
@@ -29,11 +30,47 @@
   return seed;
 }
 
+/// \returns a number that grows from start to start. A clock that was set back
+/// does no harm: others then tell this VM of its earlier incarnation.
+uint64_t startIncarnation() {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+  return static_cast<uint64_t>(millis.count()) * (MemberRefutationMask + 1);
+}
+
+/// \returns this VM in the settings' list, or null if it takes no part in a
+/// fleet.
+const VmSpec *findSelf(const Settings &settings) {
+  auto it = std::find_if(
+      settings.Vms.begin(), settings.Vms.end(),
+      [&](const VmSpec &vm) { return vm.Name == settings.Daemon.Name; });
+  return it == settings.Vms.end() ? nullptr : &*it;
+}
+
+/// Appends the key made of the environment variable \p name, if it is set.
+void addPeerKey(const std::string &name, PeerKeyRing &keys) {
+  const char *secret = name.empty() ? nullptr : std::getenv(name.c_str());
+  if (secret && *secret)
+    keys.push_back(makePeerKey(secret));
+}
+
+std::string_view vmStateName(VmState state) {
+  static constexpr std::string_view Names[] = {"unknown", "alive",   "suspect",
+                                               "gone",    "leaving", "removed"};
+  return Names[static_cast<size_t>(state)];
+}
+
 ReducerInit reducerInit(const Settings &settings) {
   ReducerInit init;
   init.Bounds = settings.Bounds;
   init.Zone = settings.Daemon.Zone;
   init.Seed = randomSeed();
+  if (const VmSpec *self = findSelf(settings)) {
+    init.Self = *self;
+    init.Incarnation = startIncarnation();
+  }
   return init;
 }
 
@@ -59,6 +96,8 @@
     lws_context_destroy(Context);
   if (!LoopOpen)
     return;
+  if (Peers)
+    Peers->close();
   uv_handle_t *own[] = {reinterpret_cast<uv_handle_t *>(&Timer),
                         reinterpret_cast<uv_handle_t *>(&Prepare),
                         reinterpret_cast<uv_handle_t *>(&Check),
@@ -111,12 +150,35 @@
   Back->listen(*Front);
   if (!Front->open())
     return StartFault::ListenFailed;
+  if (StartFault fault = startPeers(); fault != StartFault::None)
+    return fault;
   post(CatalogAccepted{&Config.Catalog});
   drainEvents();
   Front->setServing(ServingState::Ready);
   return StartFault::None;
 }
 
+StartFault Daemon::startPeers() {
+  const VmSpec *self = findSelf(Config);
+  if (!self)
+    return StartFault::None;
+  PeerTransportInit init;
+  init.ListenAddress = self->Address;
+  init.ListenPort = self->PeerPort;
+  init.SelfName = self->Name;
+  addPeerKey(Config.Peers.SecretEnv, init.Keys);
+  if (init.Keys.empty())
+    return StartFault::PeerSecretMissing;
+  addPeerKey(Config.Peers.PreviousSecretEnv, init.Keys);
+  Peers = std::make_unique<PeerTransport>(Loop, std::move(init),
+                                          Decisions.state().Members, *this);
+  if (!Peers->listen())
+    return StartFault::PeerListenFailed;
+  post(VmListRead{Config.Vms});
+  post(TimeAdvanced{});
+  return StartFault::None;
+}
+
 void Daemon::run() { uv_run(&Loop, UV_RUN_DEFAULT); }
 
 void Daemon::post(const EventBody &body) { Queue.push_back(body); }
@@ -132,6 +194,8 @@
   Exchanges.recycle();
   if (Drained && Exchanges.openCount() == 0 && !Front->ending())
     stopLoop();
+  if (Peers)
+    Peers->flush();
   armTimer();
 }
 
@@ -162,7 +226,16 @@
 void Daemon::on(const FinishAnswer &effect) { Front->finish(effect); }
 void Daemon::on(const AbortAnswer &effect) { Front->abort(effect); }
 void Daemon::on(const RefuseRequest &effect) { Front->refuse(effect); }
-void Daemon::on(const SendPeer &) {}
+void Daemon::on(const SendPeer &effect) {
+  if (Peers)
+    Peers->send(effect.To, effect.Body);
+}
+void Daemon::on(const MemberChanged &effect) {
+  logLine(LogLevel::Info, "member-changed",
+          {{"vm",
+            std::string_view(Decisions.state().Members.entry(effect.Vm).Name)},
+           {"state", vmStateName(effect.State)}});
+}
 void Daemon::on(const DrainCompleted &) {
   // Answers may still be on their way to callers.
   Drained = true;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -9,6 +9,7 @@
 #include "front_http.h"
 #include "guavasail/reducer.h"
 #include "guavasail/settings.h"
+#include "peer_transport_uv.h"
 
 #include <cstdint>
 #include <deque>
@@ -18,7 +19,13 @@
 namespace guavasail {
 
 /// Why a daemon could not start.
-enum class StartFault : uint8_t { None, LoopFailed, ListenFailed };
+enum class StartFault : uint8_t {
+  None,
+  LoopFailed,
+  ListenFailed,
+  PeerSecretMissing,
+  PeerListenFailed,
+};
 
 /// Runs one daemon on one loop.
 class Daemon : public EventSink {
@@ -42,6 +49,7 @@
   void execute(const Effect &effect);
   void armTimer();
   void stopLoop();
+  StartFault startPeers();
 
   void on(const StartAttempt &effect);
   void on(const CancelAttempt &effect);
@@ -50,6 +58,7 @@
   void on(const AbortAnswer &effect);
   void on(const RefuseRequest &effect);
   void on(const SendPeer &effect);
+  void on(const MemberChanged &effect);
   void on(const DrainCompleted &effect);
 
   static void onTimer(uv_timer_t *timer);
@@ -72,6 +81,7 @@
   ExchangeTable Exchanges;
   std::unique_ptr<BackHttp> Back;
   std::unique_ptr<FrontHttp> Front;
+  std::unique_ptr<PeerTransport> Peers;
   Instant Armed = NeverInstant;
   /// The decisions have nothing in progress and take no new request.
   bool Drained = false;
--- a/src/member_probe.cpp
+++ b/src/member_probe.cpp
@@ -221,8 +221,12 @@
   if (knownGone || !Table.contains(target))
     return;
   endProbe(false);
-  if (!alone)
-    state(target, VmState::Suspect, entry.Incarnation, step);
+  if (alone)
+    return;
+  size_t before = Suspicions.size();
+  state(target, VmState::Suspect, entry.Incarnation, step);
+  if (Suspicions.size() > before)
+    Suspicions.back().Mine = true;
 }
 
 } // namespace guavasail
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -87,13 +87,16 @@
 
 void Membership::state(VmHandle vm, VmState state, uint64_t incarnation,
                        const MemberStep &step) {
+  VmState before = Table.at(vm).State;
   if (!Table.apply(vm, state, incarnation, step.Now))
     return;
+  if (before != state)
+    step.Effects.push(MemberChanged{vm, state});
   if (Chosen->Gossips)
     Gossip.add(vm);
   std::erase_if(Suspicions, [&](const Suspicion &it) { return it.Vm == vm; });
   if (state == VmState::Suspect)
-    Suspicions.push_back({vm, step.Now + suspicionTime()});
+    Suspicions.push_back({vm, step.Now + suspicionTime(), false});
 }
 
 void Membership::learn(const MemberUpdate &update, const MemberStep &step) {
@@ -180,6 +183,9 @@
 void Membership::tickProbing(const MemberStep &step) {
   if (Current.Stage != ProbeStage::Idle)
     failProbe(step);
+  for (const Suspicion &it : Suspicions)
+    if (it.Mine)
+      sendPing(it.Vm, ++Sequence, step);
   startProbe(step);
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -65,6 +65,9 @@
 
   [[nodiscard]] MemberView view() const;
 
+  /// \returns what is known of \p vm, which has to be known.
+  [[nodiscard]] const VmEntry &entry(VmHandle vm) const { return Table.at(vm); }
+
   /// \returns the handle of \p name, invalid if the VM is unknown.
   [[nodiscard]] VmHandle find(std::string_view name) const {
     return Table.find(name);
@@ -96,6 +99,9 @@
   struct Suspicion {
     VmHandle Vm;
     Instant Due;
+    /// This VM started the suspicion and gives the suspect the chance to
+    /// refute it.
+    bool Mine = false;
   };
 
   /// One way to find out who runs.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -46,6 +46,19 @@
     {"log_format", &DaemonSettings::LogFormatName},
 });
 
+constexpr auto PeerFields = std::to_array<Field<PeerSettings>>({
+    {"secret_env", &PeerSettings::SecretEnv},
+    {"previous_secret_env", &PeerSettings::PreviousSecretEnv},
+});
+
+constexpr auto VmFields = std::to_array<Field<VmSpec>>({
+    {"name", &VmSpec::Name, true},
+    {"address", &VmSpec::Address, true},
+    {"peer_port", &VmSpec::PeerPort, true, 1, MaxPort},
+    {"zone", &VmSpec::Zone, true},
+    {"region", &VmSpec::Region},
+});
+
 constexpr auto LimitFields = std::to_array<Field<Limits>>({
     {"requests", &Limits::Requests, false, 1},
     {"caller_connections", &Limits::CallerConnections, false, 1},
@@ -285,14 +298,17 @@
 class SettingsParser {
 public:
   SettingsParser(const toml::table &root, FaultList &faults)
-      : Root(root), Faults(faults), ServiceNames("service.name", faults),
-        RouteNames("route.name", faults),
+      : Root(root), Faults(faults), VmNames("vm.name", faults),
+        ServiceNames("service.name", faults), RouteNames("route.name", faults),
         WorkspaceNames("workspace.name", faults) {}
 
   Settings parse() {
     checkTopLevel();
     parseSection("daemon", DaemonFields, Result.Daemon, true);
     parseSection("limits", LimitFields, Result.Bounds, false);
+    parseSection("peers", PeerFields, Result.Peers, false);
+    forEachTable(Root, "vm", Faults,
+                 [this](const toml::table &it) { parseVm(it); });
     forEachTable(Root, "service", Faults,
                  [this](const toml::table &it) { parseService(it); });
     forEachTable(Root, "workspace", Faults,
@@ -306,12 +322,12 @@
 private:
   void checkTopLevel() {
     static constexpr auto Known = std::to_array<std::string_view>(
-        {"daemon", "limits", "service", "workspace", "route"});
+        {"daemon", "limits", "peers", "vm", "service", "workspace", "route"});
     for (const auto &[key, node] : Root)
       if (std::find(Known.begin(), Known.end(), key.str()) == Known.end())
         Faults.add(SettingsFault::KeyUnknown, lineOf(node),
                    std::string(key.str()),
-                   "one of daemon limits service workspace route");
+                   "one of daemon limits peers vm service workspace route");
   }
 
   template <typename Spec, size_t N>
@@ -327,6 +343,12 @@
     parseFields(*node->as_table(), key, fields, spec, Faults);
   }
 
+  void parseVm(const toml::table &table) {
+    VmSpec &spec = Result.Vms.emplace_back();
+    parseFields(table, "vm", VmFields, spec, Faults);
+    VmNames.add(spec.Name, lineOf(table));
+  }
+
   void parseService(const toml::table &table) {
     static constexpr std::string_view Nested[] = {"instance"};
     ServiceSpec &spec = Result.Catalog.Services.emplace_back();
@@ -368,6 +390,7 @@
 
   const toml::table &Root;
   FaultList &Faults;
+  NameCheck VmNames;
   NameCheck ServiceNames;
   NameCheck RouteNames;
   NameCheck WorkspaceNames;
--- a/src/verb_serve.cpp
+++ b/src/verb_serve.cpp
@@ -19,8 +19,9 @@
 }
 
 std::string_view startFaultName(StartFault fault) {
-  static constexpr std::string_view Names[] = {"none", "loop-failed",
-                                               "listen-failed"};
+  static constexpr std::string_view Names[] = {
+      "none", "loop-failed", "listen-failed", "peer-secret-missing",
+      "peer-listen-failed"};
   return Names[static_cast<size_t>(fault)];
 }
 
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -53,6 +53,10 @@
   std::string operator()(const SendPeer &it) const {
     return "send " + std::to_string(it.To.Value);
   }
+  std::string operator()(const MemberChanged &it) const {
+    return "member " + std::to_string(it.Vm.Value) + " state " +
+           std::to_string(static_cast<int>(it.State));
+  }
   std::string operator()(const DrainCompleted &) const {
     return "drain completed";
   }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -31,6 +31,13 @@
      "service.name"},
     {"RepeatedName", "[[service]]\nname = \"a\"\n[[service]]\nname = \"a\"\n",
      SettingsFault::NameRepeated, 5, "service.name"},
+    {"RepeatedVm",
+     "[[vm]]\nname = \"a\"\naddress = \"::1\"\npeer_port = 1\nzone = \"z\"\n"
+     "[[vm]]\nname = \"a\"\naddress = \"::1\"\npeer_port = 2\nzone = \"z\"\n",
+     SettingsFault::NameRepeated, 8, "vm.name"},
+    {"PeerPort",
+     "[[vm]]\nname = \"a\"\naddress = \"::1\"\npeer_port = 0\nzone = \"z\"\n",
+     SettingsFault::ValueOutOfRange, 6, "vm.peer_port"},
     {"UnknownService",
      "[[route]]\nname = \"r\"\nprefix = \"/r\"\nservice = \"none\"\n",
      SettingsFault::ReferenceUnknown, 3, "route.service"},
@@ -40,7 +47,9 @@
      SettingsFault::TypeWrong, 7, "workspace.key.digest"},
 };
 
-void PrintTo(const SettingsCase &row, std::ostream *out) { *out << row.Name; }
+std::ostream &operator<<(std::ostream &out, const SettingsCase &row) {
+  return out << row.Name;
+}
 
 class BadSettings : public testing::TestWithParam<SettingsCase> {};
 
