Peer links: end connections whose bytes stay unacknowledged

Cause: after a partition the kernel waits ever longer before it sends again, so that a link stays silent long after the path has healed. Change: unacknowledged bytes end a connection after 5 s. The smoke run also pauses and resumes a daemon and prints processor time and memory. The healing of a real partition is not measured on this machine.

--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs 8 daemons on loopback: all see all, then one is killed and the others
-# find out. Prints `name value unit` lines. usage: smoke.sh PROGRAM [BASE_PORT]
+# Runs 8 daemons on loopback: all see all, then one is killed, started again,
+# paused and resumed, and the others find out. Prints `name value unit` lines.
+# usage: smoke.sh PROGRAM [BASE_PORT]
 set -u
 program=$1
 base=${2:-23100}
@@ -12,7 +13,10 @@
 zones=(kerdaniel-haut kerdaniel-bas depot-rennes siege-quimper)
 
 cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done
+  for pid in "${pids[@]}"; do
+    kill "$pid" 2>/dev/null
+    kill -CONT "$pid" 2>/dev/null
+  done
   wait 2>/dev/null
   rm -rf "$dir"
 }
@@ -86,6 +90,10 @@
 await killed-is-gone-everywhere one_gone
 start 3
 await restarted-is-alive-everywhere one_back
+kill -STOP "${pids[3]}"
+await paused-is-gone-everywhere one_gone
+kill -CONT "${pids[3]}"
+await resumed-is-alive-everywhere one_back
 # Processor time and memory of one idle daemon, fleet traffic included.
 ticks() { awk '{ print $14 + $15 }' "/proc/${pids[0]}/stat"; }
 seconds=10
--- a/src/peer_transport_uv.cpp
+++ b/src/peer_transport_uv.cpp
@@ -4,6 +4,9 @@
 #include "peer_codec_cbor.h"
 
 #include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace guavasail {
 
@@ -17,6 +20,18 @@
 /// Bytes that the kernel may refuse before a link counts as stuck.
 constexpr size_t MaxUnsentBytes = 1024 * 1024;
 
+/// Time after which unacknowledged bytes end a connection. Without it a link
+/// would stay silent long after a partition has healed, since the kernel waits
+/// ever longer before it sends again.
+constexpr unsigned UnacknowledgedMs = 5000;
+
+void limitUnacknowledged(uv_tcp_t &tcp) {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t *>(&tcp), &fd) == 0)
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
+               sizeof(UnacknowledgedMs));
+}
+
 /// A write in progress and its bytes.
 struct Write {
   uv_write_t Request{};
@@ -223,6 +238,7 @@
     *buf = uv_buf_init(buffer.data(), static_cast<unsigned>(buffer.size()));
   };
   socket.Reading = true;
+  limitUnacknowledged(socket.Tcp);
   uv_read_start(streamOf(socket.Tcp), allocate, &PeerTransport::onRead);
 }
 
