--- a/src/health_judge.cpp
+++ b/src/health_judge.cpp
@@ -16,8 +16,8 @@
 constexpr ClassShares LeastShares = {0.02F, 0.03F, 0.005F, 0.002F};
 /// Weight of the least shares against evidence of peers, in answers.
 constexpr float PriorAnswers = 20;
-/// Answers of peers that make the present slice count by itself.
-constexpr float FreshAnswers = 8;
+/// Answers of peers within the last second that count by themselves.
+constexpr float RecentAnswers = 5;
 /// Answers of an instance that make its median count.
 constexpr float MedianAnswers = 3;
 
@@ -141,6 +141,7 @@
   }
   Items = std::move(kept);
   FreshClasses.resize(Items.size());
+  RecentClasses.resize(Items.size());
   WindowClasses.resize(Items.size());
   Medians.reserve(Items.size());
 }
@@ -184,6 +185,10 @@
 
 bool ServiceJudge::evaluate(const JudgeContext &context) {
   findTypical();
+  for (JudgedInstance &item : Items)
+    for (size_t n = 0; n < CellKinds; ++n)
+      item.Recent[n] =
+          item.Recent[n] * Init.RecentFade + static_cast<float>(item.Fresh[n]);
   sumClasses();
   bool changed = false;
   for (size_t n = 0; n < Items.size(); ++n) {
@@ -213,38 +218,39 @@
 }
 
 void ServiceJudge::sumClasses() {
-  FreshSum = {};
+  RecentSum = {};
   WindowSum = {};
   for (size_t n = 0; n < Items.size(); ++n) {
     FreshClasses[n] = classSums(Items[n].Fresh, Typical);
     WindowClasses[n] = classSums(Items[n].Window, Typical);
+    RecentClasses[n] = classSums(Items[n].Recent, Typical);
     if (Items[n].State != VerdictState::Healthy)
       continue;
     for (size_t c = 0; c < EvidenceClasses; ++c) {
-      FreshSum[c] += FreshClasses[n][c];
+      RecentSum[c] += RecentClasses[n][c];
       WindowSum[c] += WindowClasses[n][c];
     }
   }
 }
 
 ClassShares ServiceJudge::usualShares(size_t self) const {
-  ClassShares fresh = FreshSum;
+  ClassShares recent = RecentSum;
   ClassShares window = WindowSum;
   if (Items[self].State == VerdictState::Healthy) {
     for (size_t c = 0; c < EvidenceClasses; ++c) {
-      fresh[c] -= FreshClasses[self][c];
+      recent[c] -= RecentClasses[self][c];
       window[c] -= WindowClasses[self][c];
     }
   }
-  float freshAll = total(fresh);
+  float recentAll = total(recent);
   float windowAll = total(window) + PriorAnswers;
   ClassShares usual{};
   float adverse = 0;
   for (size_t c = 1; c < EvidenceClasses; ++c) {
     float share = (window[c] + PriorAnswers * LeastShares[c]) / windowAll;
-    // A slow-down of the whole service shows in the present slice first.
-    if (freshAll >= FreshAnswers)
-      share = std::max(share, fresh[c] / freshAll);
+    // A slow-down of the whole service shows in the last second first.
+    if (recentAll >= RecentAnswers)
+      share = std::max(share, recent[c] / recentAll);
     usual[c] = std::max(share, LeastShares[c]);
     adverse += usual[c];
   }
@@ -264,12 +270,13 @@
   fresh[index(EvidenceClass::Bad)] -=
       static_cast<float>(item.Fresh[CellForgiven]);
   float fail = evidenceFor(fresh, failShares(usual), usual);
-  float most = 2 * Init.Threshold;
-  auto next = [&](float score, float gain) {
-    return std::clamp(score + std::min(gain, Init.GainLimit), 0.0F, most);
+  auto next = [](float score, float gain, float threshold) {
+    return std::clamp(score + gain, 0.0F, 2 * threshold);
   };
-  item.SlowScore = next(item.SlowScore, slow);
-  item.FailScore = next(item.FailScore, fail);
+  item.SlowScore =
+      next(item.SlowScore, std::min(slow, Init.SlowGain), Init.SlowThreshold);
+  item.FailScore =
+      next(item.FailScore, std::min(fail, Init.FailGain), Init.FailThreshold);
   item.GoodAnswers += static_cast<uint32_t>(fresh[index(EvidenceClass::Fast)]);
 }
 
@@ -286,9 +293,10 @@
 
 bool ServiceJudge::sick(const JudgedInstance &item, const JudgeContext &context,
                         float part) const {
-  float score = std::max(item.SlowScore, item.FailScore);
-  return score >= Init.Threshold * context.Bar * part &&
-         sharedByOthers(item.ByVm, !context.Alone) &&
+  float bar = context.Bar * part;
+  bool over = item.SlowScore >= Init.SlowThreshold * bar ||
+              item.FailScore >= Init.FailThreshold * bar;
+  return over && sharedByOthers(item.ByVm, !context.Alone) &&
          sharedByOthers(item.ByZone, false);
 }
 
@@ -296,7 +304,8 @@
   Duration length = Init.FirstEjection * (int64_t{1} << item.Level);
   length = std::min(length, Init.LongestEjection);
   item.Level = std::min<uint8_t>(item.Level + 1, LevelLimit);
-  bool slower = item.SlowScore >= item.FailScore;
+  bool slower = item.SlowScore * Init.FailThreshold >=
+                item.FailScore * Init.SlowThreshold;
   float stalled =
       item.Window[CellStalled] + static_cast<float>(item.Fresh[CellStalled]);
   ClassShares window = classSums(item.Window, Typical);
@@ -339,6 +348,7 @@
     return false;
   // Evidence of the sick time must not weigh against the recovery.
   item.Window = {};
+  item.Recent = {};
   item.ByVm = {};
   item.ByZone = {};
   enter(item, VerdictState::Trickle, context.Now, Init.Trickle);
--- a/src/health_judge.h
+++ b/src/health_judge.h
@@ -33,6 +33,8 @@
   /// Evidence since the last evaluation and the fading sum of all before.
   std::array<uint32_t, CellKinds> Fresh{};
   std::array<float, CellKinds> Window{};
+  /// As the window, but fading within a second.
+  std::array<float, CellKinds> Recent{};
   std::array<ReporterGroup, 16> ByVm{};
   std::array<ReporterGroup, 8> ByZone{};
   /// Cumulative log-likelihood ratios, never below zero.
@@ -62,12 +64,16 @@
 
 /// Bounds and times of the verdicts.
 struct JudgeInit {
-  /// Score at which an instance is ejected.
-  float Threshold = 20;
-  /// Score that one evaluation may add.
-  float GainLimit = 8;
+  /// Scores at which an instance is ejected.
+  float SlowThreshold = 18;
+  float FailThreshold = 14;
+  /// Scores that one evaluation may add. A short pause of an instance slows
+  /// several answers at once, whose evidence spreads over three evaluations.
+  float SlowGain = 5;
+  float FailGain = 8;
   /// Factor on older evidence at each evaluation.
   float Fade = 0.975F;
+  float RecentFade = 0.4F;
   Duration FirstEjection = std::chrono::seconds(5);
   Duration LongestEjection = std::chrono::minutes(5);
   Duration Trickle = std::chrono::seconds(10);
@@ -127,9 +133,10 @@
   JudgeInit Init;
   std::vector<JudgedInstance> Items;
   std::vector<ClassShares> FreshClasses;
+  std::vector<ClassShares> RecentClasses;
   std::vector<ClassShares> WindowClasses;
   std::vector<uint32_t> Medians;
-  ClassShares FreshSum{};
+  ClassShares RecentSum{};
   ClassShares WindowSum{};
   /// Beyond all buckets until it is known.
   uint32_t Typical = LatencyBuckets;
