--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -2,7 +2,8 @@
 # usage: scripts/bench.sh [path|decisions|fleet ...]
 # Runs measurements and prints `name value unit` lines; ratios are against the
 # baseline of the same run. `path` measures the real daemon on 127.0.0.1; the
-# other groups run the programs build/bench/guavasail_bench_GROUP_*.
+# other groups run the programs build/bench/guavasail_bench_*: those with fleet
+# in their name belong to fleet, the others to decisions.
 # Without a group all of them run. BENCH_PORT is the first of 10 ports in use.
 set -eu
 cd "$(dirname "$0")/.."
@@ -12,6 +13,7 @@
 readonly Key="bench-key"
 work=$(mktemp -d)
 pids=()
+failed=0
 
 cleanup() {
   for pid in "${pids[@]}"; do
@@ -105,9 +107,12 @@
 }
 
 benchPrograms() { # group
-  local program
-  for program in build/bench/guavasail_bench_"$1"_*; do
-    [ ! -x "$program" ] || [ -d "$program" ] || "$program"
+  local program group
+  for program in build/bench/guavasail_bench_*; do
+    [ -x "$program" ] && [ ! -d "$program" ] || continue
+    group=decisions
+    case $program in *fleet*) group=fleet ;; esac
+    [ $group != "$1" ] || "$program" || failed=1
   done
 }
 
@@ -122,3 +127,4 @@
     *) benchPrograms "$group" ;;
   esac
 done
+exit $failed
--- a/src/http_request.cpp
+++ b/src/http_request.cpp
@@ -68,6 +68,8 @@
   return value;
 }
 
+bool isHttp2(lws *wsi) { return lws_get_network_wsi(wsi) != wsi; }
+
 const MethodRow *findMethod(lws *wsi) {
   for (const MethodRow &row : Methods)
     if (lws_hdr_total_length(wsi, row.Token) > 0)
@@ -177,7 +179,9 @@
   exchange.Host = headerLine(wsi, WSI_TOKEN_HTTP_COLON_AUTHORITY);
   if (exchange.Host.empty())
     exchange.Host = headerLine(wsi, WSI_TOKEN_HOST);
-  bool present = exchange.OldCaller || !exchange.Host.empty();
+  // The library does not give HTTP/2's authority.
+  bool optional = exchange.OldCaller || isHttp2(wsi);
+  bool present = optional || !exchange.Host.empty();
   return lines <= 1 && present && isCleanValue(exchange.Host);
 }
 
@@ -225,6 +229,10 @@
     return RefusalKind::MethodUnsupported;
   exchange.Method = method->Name;
   exchange.Path = path;
+  // The library does not give an Idempotency-Key that came by HTTP/2, so that
+  // a repetition could not be told from a new request.
+  if (isHttp2(wsi) && method->Repeat == Repeatability::AtMostOnce)
+    return RefusalKind::MethodUnsupported;
   if (!parseHost(wsi, exchange))
     return RefusalKind::MalformedRequest;
   if (auto fault = parseLength(wsi, *method, bounds, exchange))
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,7 +2,9 @@
 
 #include "key_digest.h"
 
+#include <arpa/inet.h>
 #include <array>
+#include <cstdlib>
 #include <fstream>
 #include <limits>
 #include <set>
@@ -25,6 +27,32 @@
                               uint64_t Spec::*, Duration Spec::*,
                               std::vector<std::string> Spec::*, Digest Spec::*>;
 
+/// What a text has to be, besides a string.
+struct TextRule {
+  bool (*Accepts)(const std::string &text);
+  std::string_view Expected;
+};
+
+bool isAddress(const std::string &text) {
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  return inet_pton(AF_INET, text.c_str(), bytes.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), bytes.data()) == 1;
+}
+
+bool isLogLevel(const std::string &text) {
+  return text == "debug" || text == "info" || text == "warning" ||
+         text == "error";
+}
+
+bool isLogFormat(const std::string &text) {
+  return text == "text" || text == "json";
+}
+
+constexpr TextRule AddressRule = {&isAddress, "an IP number"};
+constexpr TextRule LogLevelRule = {&isLogLevel,
+                                   "one of debug info warning error"};
+constexpr TextRule LogFormatRule = {&isLogFormat, "one of text json"};
+
 /// One key of a table: the member it fills in and the values it accepts.
 /// Durations are whole milliseconds.
 template <typename Spec> struct Field {
@@ -33,17 +61,30 @@
   bool Required = false;
   uint64_t Least = 0;
   uint64_t Most = MaxCount;
+  const TextRule *Rule = nullptr;
 };
 
 constexpr auto DaemonFields = std::to_array<Field<DaemonSettings>>({
     {"name", &DaemonSettings::Name},
     {"zone", &DaemonSettings::Zone, true},
-    {"listen_address", &DaemonSettings::ListenAddress},
+    {"listen_address", &DaemonSettings::ListenAddress, false, 0, 0,
+     &AddressRule},
     {"listen_port", &DaemonSettings::ListenPort, false, 1, MaxPort},
     {"tls_certificate", &DaemonSettings::TlsCertificate},
     {"tls_key", &DaemonSettings::TlsKey},
-    {"log_level", &DaemonSettings::LogLevel},
-    {"log_format", &DaemonSettings::LogFormatName},
+    {"log_level", &DaemonSettings::LogLevel, false, 0, 0, &LogLevelRule},
+    {"log_format", &DaemonSettings::LogFormatName, false, 0, 0, &LogFormatRule},
+});
+
+/// A member that a variable of the environment replaces.
+struct Override {
+  const char *Variable;
+  std::string DaemonSettings::*Member;
+};
+
+constexpr auto Overrides = std::to_array<Override>({
+    {"GUAVASAIL_TLS_CERTIFICATE", &DaemonSettings::TlsCertificate},
+    {"GUAVASAIL_TLS_KEY", &DaemonSettings::TlsKey},
 });
 
 constexpr auto PeerFields = std::to_array<Field<PeerSettings>>({
@@ -53,7 +94,7 @@
 
 constexpr auto VmFields = std::to_array<Field<VmSpec>>({
     {"name", &VmSpec::Name, true},
-    {"address", &VmSpec::Address, true},
+    {"address", &VmSpec::Address, true, 0, 0, &AddressRule},
     {"peer_port", &VmSpec::PeerPort, true, 1, MaxPort},
     {"zone", &VmSpec::Zone, true},
     {"region", &VmSpec::Region},
@@ -74,7 +115,7 @@
 
 constexpr auto InstanceFields = std::to_array<Field<InstanceSpec>>({
     {"name", &InstanceSpec::Name, true},
-    {"address", &InstanceSpec::Address, true},
+    {"address", &InstanceSpec::Address, true, 0, 0, &AddressRule},
     {"port", &InstanceSpec::Port, true, 1, MaxPort},
     {"zone", &InstanceSpec::Zone, true},
     {"slots", &InstanceSpec::Slots, false, 1},
@@ -139,10 +180,13 @@
         Faults(faults) {}
 
   void operator()(std::string Spec::*member) {
-    if (auto value = Node.template value_exact<std::string>())
-      Target.*member = *value;
-    else
-      wrongType("a string");
+    auto value = Node.template value_exact<std::string>();
+    if (!value)
+      return wrongType("a string");
+    Target.*member = *value;
+    if (Entry.Rule && !Entry.Rule->Accepts(*value))
+      Faults.add(SettingsFault::ValueOutOfRange, lineOf(Node), Key,
+                 std::string(Entry.Rule->Expected));
   }
 
   template <typename Integer>
@@ -305,6 +349,7 @@
   Settings parse() {
     checkTopLevel();
     parseSection("daemon", DaemonFields, Result.Daemon, true);
+    overrideFromEnvironment();
     parseSection("limits", LimitFields, Result.Bounds, false);
     parseSection("peers", PeerFields, Result.Peers, false);
     forEachTable(Root, "vm", Faults,
@@ -349,6 +394,19 @@
     VmNames.add(spec.Name, lineOf(table));
   }
 
+  /// Secrets may come from the environment, which goes before the file.
+  void overrideFromEnvironment() {
+    DaemonSettings &daemon = Result.Daemon;
+    for (const Override &row : Overrides)
+      if (const char *value = std::getenv(row.Variable))
+        daemon.*row.Member = value;
+    if (daemon.TlsCertificate.empty() != daemon.TlsKey.empty())
+      Faults.add(SettingsFault::KeyMissing, 0,
+                 daemon.TlsKey.empty() ? "daemon.tls_key"
+                                       : "daemon.tls_certificate",
+                 "both daemon.tls_certificate and daemon.tls_key, or neither");
+  }
+
   void parseService(const toml::table &table) {
     static constexpr std::string_view Nested[] = {"instance"};
     ServiceSpec &spec = Result.Catalog.Services.emplace_back();
--- /dev/null
+++ b/tests/edge_tls_test.cpp
@@ -0,0 +1,138 @@
+#include "edge_harness.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <memory>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+#include <sstream>
+
+namespace guavasail {
+
+namespace {
+
+constexpr std::string_view Answer =
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabcde";
+constexpr long ValidSeconds = 3600;
+
+template <typename T, void (*Free)(T *)> struct Freed {
+  void operator()(T *item) const { Free(item); }
+};
+using KeyPair = std::unique_ptr<EVP_PKEY, Freed<EVP_PKEY, &EVP_PKEY_free>>;
+using Certificate = std::unique_ptr<X509, Freed<X509, &X509_free>>;
+
+/// A certificate that signs itself, made for one run.
+struct CertificateFiles {
+  std::string Certificate;
+  std::string Key;
+};
+
+CertificateFiles makeCertificate() {
+  static const CertificateFiles Files = [] {
+    std::string folder = testing::TempDir() + "guavasail-tls-XXXXXX";
+    folder = ::mkdtemp(folder.data());
+    KeyPair key(EVP_EC_gen("P-256"));
+    Certificate certificate(X509_new());
+    ASN1_INTEGER_set(X509_get_serialNumber(certificate.get()), 1);
+    X509_gmtime_adj(X509_getm_notBefore(certificate.get()), 0);
+    X509_gmtime_adj(X509_getm_notAfter(certificate.get()), ValidSeconds);
+    X509_set_pubkey(certificate.get(), key.get());
+    X509_NAME *name = X509_get_subject_name(certificate.get());
+    X509_NAME_add_entry_by_txt(
+        name, "CN", MBSTRING_ASC,
+        reinterpret_cast<const unsigned char *>("127.0.0.1"), -1, -1, 0);
+    X509_set_issuer_name(certificate.get(), name);
+    X509_sign(certificate.get(), key.get(), EVP_sha256());
+    CertificateFiles files{folder + "/certificate.pem", folder + "/key.pem"};
+    FILE *file = std::fopen(files.Certificate.c_str(), "w");
+    PEM_write_X509(file, certificate.get());
+    std::fclose(file);
+    file = std::fopen(files.Key.c_str(), "w");
+    PEM_write_PrivateKey(file, key.get(), nullptr, nullptr, 0, nullptr,
+                         nullptr);
+    std::fclose(file);
+    return files;
+  }();
+  return Files;
+}
+
+EdgeOptions secureOptions() {
+  CertificateFiles files = makeCertificate();
+  return {.Daemon = "tls_certificate = \"" + files.Certificate +
+                    "\"\ntls_key = \"" + files.Key + "\""};
+}
+
+/// Calls over TLS, with the program that callers' tests use.
+struct SecureCase {
+  std::string_view Name;
+  std::string_view Protocol;
+  std::string_view Method;
+  /// Whether the instance gets the request.
+  bool Forwarded = true;
+};
+
+const SecureCase SecureCases[] = {
+    {"Http1Get", "http/1.1", "GET"},
+    {"Http1Post", "http/1.1", "POST"},
+    {"Http2Get", "h2", "GET"},
+    {"Http2Post", "h2", "POST", false},
+};
+
+std::ostream &operator<<(std::ostream &out, const SecureCase &row) {
+  return out << row.Name;
+}
+
+class EdgeSecure : public testing::TestWithParam<SecureCase> {};
+
+TEST_P(EdgeSecure, IsAnswered) {
+  const SecureCase &row = GetParam();
+  EdgeDaemon daemon(secureOptions());
+  std::string figures = daemon.file("caller");
+  Child caller({LOAD_CALLER_BINARY,
+                "--tls",
+                "--port",
+                std::to_string(daemon.port()),
+                "--alpn",
+                std::string(row.Protocol),
+                "--method",
+                std::string(row.Method),
+                "--key",
+                std::string(EdgeKey),
+                "--path",
+                "/r/x",
+                "--requests",
+                "1",
+                "--concurrency",
+                "1",
+                "--expect_bytes",
+                "5",
+                "--max_seconds",
+                "10",
+                "--idempotency_key",
+                "i7"},
+               figures);
+  if (row.Forwarded) {
+    Wire backend = daemon.Backend.accept();
+    while (!wholeRequest(backend.Received) && backend.receive()) {
+    }
+    EXPECT_TRUE(backend.Received.starts_with(std::string(row.Method) + " /r/x"))
+        << backend.Received;
+    EXPECT_EQ(backend.Received.find(EdgeKey), std::string::npos);
+    backend.send(Answer);
+  }
+  EXPECT_EQ(caller.wait(), 0);
+  std::ostringstream text;
+  text << std::ifstream(figures + ".out").rdbuf();
+  std::string_view want = row.Forwarded ? "load.whole 1 " : "load.refused 1 ";
+  EXPECT_NE(text.str().find(want), std::string::npos) << text.str();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EdgeSecure, testing::ValuesIn(SecureCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+} // namespace
+
+} // namespace guavasail
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -25,6 +25,20 @@
      4, "limits.requests"},
     {"OutOfRange", "[limits]\nlanes_per_instance = 65\n",
      SettingsFault::ValueOutOfRange, 4, "limits.lanes_per_instance"},
+    {"LogLevel", "log_level = \"loud\"\n", SettingsFault::ValueOutOfRange, 3,
+     "daemon.log_level"},
+    {"LogFormat", "log_format = \"xml\"\n", SettingsFault::ValueOutOfRange, 3,
+     "daemon.log_format"},
+    {"AddressByName", "listen_address = \"localhost\"\n",
+     SettingsFault::ValueOutOfRange, 3, "daemon.listen_address"},
+    {"CertificateWithoutKey", "tls_certificate = \"c.pem\"\n",
+     SettingsFault::KeyMissing, 0, "daemon.tls_key"},
+    {"KeyWithoutCertificate", "tls_key = \"k.pem\"\n",
+     SettingsFault::KeyMissing, 0, "daemon.tls_certificate"},
+    {"InstanceByName",
+     "[[service]]\nname = \"a\"\n[[service.instance]]\nname = \"i\"\n"
+     "address = \"i.example\"\nport = 1\nzone = \"z\"\n",
+     SettingsFault::ValueOutOfRange, 7, "service.instance.address"},
     {"Negative", "[limits]\nattempts = -1\n", SettingsFault::ValueOutOfRange, 4,
      "limits.attempts"},
     {"MissingName", "[[service]]\n", SettingsFault::KeyMissing, 3,
@@ -71,6 +85,21 @@
                            return std::string(it.param.Name);
                          });
 
+TEST(Settings, EnvironmentGoesBeforeTheFile) {
+  ASSERT_EQ(setenv("GUAVASAIL_TLS_KEY", "/run/key.pem", 1), 0);
+  auto result = parseSettings(
+      "[daemon]\nzone = \"z\"\ntls_certificate = \"c.pem\"\n", "f");
+  unsetenv("GUAVASAIL_TLS_KEY");
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result.value().Daemon.TlsKey, "/run/key.pem");
+}
+
+TEST(Settings, ExampleIsValid) {
+  auto result = readSettings(std::string(DOCS_DIR) + "/settings.example.toml");
+  ASSERT_TRUE(result) << describe(result.error().Items.front());
+  EXPECT_FALSE(result.value().Catalog.Routes.empty());
+}
+
 TEST(Settings, ListsEveryFault) {
   auto result = parseSettings("[daemon]\nname = 1\nlisten_port = 0\n", "f");
   ASSERT_FALSE(result);
--- a/tools/load_caller.cpp
+++ b/tools/load_caller.cpp
@@ -27,6 +27,7 @@
 DEFINE_bool(number, false, "add a name of its own to each request (?n=NAME)");
 DEFINE_string(outcomes, "", "file that gets a line NAME OUTCOME a request");
 DEFINE_string(alpn, "http/1.1", "protocols to offer, such as h2");
+DEFINE_string(idempotency_key, "", "Idempotency-Key of each request");
 DEFINE_bool(tls, false, "call over TLS and accept any certificate");
 
 namespace {
@@ -167,6 +168,9 @@
   unsigned char *end = *at + len;
   bool ok = FLAGS_key.empty() ||
             addField(wsi, "authorization:", "Bearer " + FLAGS_key, at, end);
+  if (!FLAGS_idempotency_key.empty())
+    ok =
+        ok && addField(wsi, "idempotency-key:", FLAGS_idempotency_key, at, end);
   if (FLAGS_method == "POST")
     ok = ok && addField(wsi, "content-length:", "0", at, end);
   return ok ? 0 : -1;
