--- a/tests/health_fleet_test.cpp
+++ b/tests/health_fleet_test.cpp
@@ -181,8 +181,9 @@
   fleet.Cut[Alone] = false;
   fleet.run(4, outcome);
   for (uint32_t vm = 0; vm < Daemons; ++vm) {
-    if (vm != Alone)
+    if (vm != Alone) {
       EXPECT_EQ(fleet.table(vm).at(Sick).Use, UseState::InUse);
+    }
   }
 }
 
