Run keyed non-idempotent requests at most once; quarantine requests that crash instances

Cause: a caller that sent a non-idempotent request again, through another VM or after a restart, had it run again. Change: records of 256 partitions stand on three holders each; a claim runs once a majority accepted it, a second send gets the first answer, "in progress" or "outcome unknown". A request that two distinct instances were lost with and that never succeeded is refused fleet-wide for two minutes. Short answers are kept as opaque CBOR; the arrival of a keyed request waits for its body, whose hash tells a reused key. Ruled out: accepting unknown keys on the caller's word that it is the first send; a trace showed a first send overtaken by its own repetition.

--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -11,6 +11,7 @@
 #include "guavasail/refusal.h"
 
 #include <span>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -48,6 +49,12 @@
   RequestHandle Request;
 };
 
+/// Answer the request with the kept answer of its first run.
+struct ReplayAnswer {
+  RequestHandle Request;
+  std::string Answer;
+};
+
 /// Refuse the request. Nothing was sent to the caller before.
 struct RefuseRequest {
   RequestHandle Request;
@@ -72,8 +79,9 @@
 struct DrainCompleted {};
 
 using Effect = std::variant<StartAttempt, CancelAttempt, RelayAnswer,
-                            FinishAnswer, AbortAnswer, RefuseRequest, SendPeer,
-                            MemberChanged, DrainCompleted>;
+                            FinishAnswer, AbortAnswer, RefuseRequest,
+                            ReplayAnswer, SendPeer, MemberChanged,
+                            DrainCompleted>;
 
 /// Collects effects. The memory is used again for each event.
 class EffectBuffer {
--- a/include/guavasail/event.h
+++ b/include/guavasail/event.h
@@ -27,6 +27,11 @@
   const CatalogSpec *Catalog = nullptr;
 };
 
+/// Holders of records are known, one assignment for each partition.
+struct RecordsAssigned {
+  std::span<const RecordAssignment> Partitions;
+};
+
 /// The head of a caller's request was read.
 struct RequestArrived {
   RequestHandle Request;
@@ -36,6 +41,8 @@
   Digest Key;
   /// Digest of the caller's idempotency key, absent if none came.
   Digest IdempotencyKey;
+  /// Hash of the method, path and body; 0 if it is not known.
+  uint64_t Fingerprint = 0;
   /// Declared body length in bytes.
   uint64_t BodyBytes = 0;
   /// Time the caller allows; zero if it set none.
@@ -68,6 +75,9 @@
 struct AttemptCompleted {
   AttemptHandle Attempt;
   uint64_t BodyBytes = 0;
+  /// The answer in the shell's encoding if it is short enough to be kept for a
+  /// repeated request, empty otherwise.
+  std::string_view Answer;
 };
 
 /// Why an attempt ended without a whole answer.
@@ -112,9 +122,9 @@
 struct DrainRequested {};
 
 using EventBody =
-    std::variant<CatalogAccepted, RequestArrived, CallerGone, AttemptAnswered,
-                 AttemptCompleted, AttemptFailed, LaneFreed, PeerArrived,
-                 TimeAdvanced, DrainRequested, VmListRead>;
+    std::variant<CatalogAccepted, RecordsAssigned, RequestArrived, CallerGone,
+                 AttemptAnswered, AttemptCompleted, AttemptFailed, LaneFreed,
+                 PeerArrived, TimeAdvanced, DrainRequested, VmListRead>;
 
 /// One input of the reducer.
 struct Event {
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -6,6 +6,7 @@
 #include "guavasail/clock.h"
 #include "guavasail/health.h"
 #include "guavasail/member.h"
+#include "guavasail/record.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -105,8 +106,11 @@
   std::string Target;
 };
 
-using PeerBody = std::variant<Heartbeat, EvidenceReport, VerdictUpdate,
-                              MemberPing, MemberAck, MemberPingRequest>;
+using PeerBody =
+    std::variant<Heartbeat, EvidenceReport, VerdictUpdate, MemberPing,
+                 MemberAck, MemberPingRequest, RecordClaim, RecordClaimReply,
+                 RecordSettle, RecordCopyAsk, RecordCopyPart, CrashReport,
+                 QuarantineNotice>;
 
 } // namespace guavasail
 
--- a/include/guavasail/reducer.h
+++ b/include/guavasail/reducer.h
@@ -29,6 +29,8 @@
 /// Describes a reducer. Fill in what differs from the defaults.
 struct ReducerInit {
   Limits Bounds;
+  /// Name of this VM, unique in the fleet.
+  std::string_view Name;
   /// Availability zone of this VM.
   std::string_view Zone;
   BalanceKind Balance = BalanceKind::NearLeastLoadedOfTwo;
--- a/include/guavasail/refusal.h
+++ b/include/guavasail/refusal.h
@@ -30,6 +30,11 @@
   OutcomeUnknown,
   Draining,
   NotReady,
+  KeyReused,
+  AlreadyInProgress,
+  AnswerNotKept,
+  RecordsUnavailable,
+  RequestQuarantined,
 };
 
 /// What is known about the execution of a refused request.
@@ -40,6 +45,10 @@
   MayHaveRun,
   /// A backend server may have run the request; sending it again is unsafe.
   OutcomeUnknown,
+  /// An earlier request with the same idempotency key is still running.
+  InProgress,
+  /// An earlier request with the same idempotency key ran to its end.
+  HasRun,
 };
 
 /// Describes one refusal.
--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -57,6 +57,9 @@
 struct DaemonSettings {
   std::string Name = "guavasail";
   std::string Zone;
+  /// States that no record of an earlier request can exist: the fleet starts
+  /// for the first time.
+  bool FirstStart = false;
   /// IP number that callers reach.
   std::string ListenAddress = "127.0.0.1";
   uint32_t ListenPort = 8080;
--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -1,5 +1,6 @@
 #include "back_http.h"
 
+#include "answer_blob.h"
 #include "http_headers.h"
 #include "log.h"
 
@@ -299,6 +300,8 @@
   BackendCall &call = *use.Call;
   call.Answer.append({static_cast<const char *>(in), len});
   call.AnswerBytes += len;
+  if (exchange->KeepAnswer && call.AnswerBytes <= MaxKeptBodyBytes)
+    call.Kept.append(static_cast<const char *>(in), len);
   if (call.Answer.unread().size() > Bounds.AnswerBufferBytes && !call.Paused) {
     call.Paused = true;
     lws_rx_flow_control(wsi, 0);
@@ -314,7 +317,10 @@
   BackendCall &call = *use.Call;
   if (!isWhole(use, *exchange))
     return -1;
-  Sink.post(AttemptCompleted{use.Attempt, call.AnswerBytes});
+  bool keep = exchange->KeepAnswer && call.AnswerBytes == call.Kept.size();
+  if (keep)
+    exchange->Kept = encodeAnswer(call.Head, call.Kept);
+  Sink.post(AttemptCompleted{use.Attempt, call.AnswerBytes, exchange->Kept});
   call.Wsi = nullptr;
   use.Call = nullptr;
   finishUse(use);
--- a/src/catalog_index.h
+++ b/src/catalog_index.h
@@ -3,11 +3,11 @@
 #ifndef GUAVASAIL_SRC_CATALOG_INDEX_H
 #define GUAVASAIL_SRC_CATALOG_INDEX_H
 
+#include "digest_hash.h"
 #include "guavasail/catalog.h"
 #include "guavasail/handle.h"
 #include "name_table.h"
 
-#include <cstring>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -115,15 +115,6 @@
   }
 
 private:
-  // Digests are uniform, so any eight bytes serve as the hash.
-  struct DigestHash {
-    size_t operator()(const Digest &digest) const {
-      size_t hash = 0;
-      std::memcpy(&hash, digest.Bytes.data(), sizeof(hash));
-      return hash;
-    }
-  };
-
   void markAllAbsent();
   void acceptService(const ServiceSpec &spec);
   void acceptInstance(ServiceHandle service, const ServiceSpec &owner,
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon.h"
 
 #include "log.h"
+#include "record_assignment.h"
 #include "reducer_state.h"
 
 #include <algorithm>
@@ -65,6 +66,7 @@
 ReducerInit reducerInit(const Settings &settings) {
   ReducerInit init;
   init.Bounds = settings.Bounds;
+  init.Name = settings.Daemon.Name;
   init.Zone = settings.Daemon.Zone;
   init.Seed = randomSeed();
   if (const VmSpec *self = findSelf(settings)) {
@@ -153,6 +155,7 @@
   if (StartFault fault = startPeers(); fault != StartFault::None)
     return fault;
   post(CatalogAccepted{&Config.Catalog});
+  assignRecords();
   drainEvents();
   Front->setServing(ServingState::Ready);
   return StartFault::None;
@@ -179,6 +182,19 @@
   return StartFault::None;
 }
 
+void Daemon::assignRecords() {
+  VmSpec alone;
+  alone.Name = Config.Daemon.Name;
+  std::span<const VmSpec> vms(Config.Vms);
+  Assignments = firstAssignments(vms.empty() ? std::span(&alone, 1) : vms);
+  // Records of an earlier life are lost unless the operator rules them out.
+  const RecordHolder &self = Decisions.state().Self;
+  for (RecordAssignment &it : Assignments)
+    if (Config.Daemon.FirstStart && it.Holders.has(self.Vm))
+      it.Holders.Items[it.Holders.find(self.Vm)] = self;
+  post(RecordsAssigned{Assignments});
+}
+
 void Daemon::run() { uv_run(&Loop, UV_RUN_DEFAULT); }
 
 void Daemon::post(const EventBody &body) { Queue.push_back(body); }
@@ -226,6 +242,7 @@
 void Daemon::on(const FinishAnswer &effect) { Front->finish(effect); }
 void Daemon::on(const AbortAnswer &effect) { Front->abort(effect); }
 void Daemon::on(const RefuseRequest &effect) { Front->refuse(effect); }
+void Daemon::on(const ReplayAnswer &effect) { Front->replay(effect); }
 void Daemon::on(const SendPeer &effect) {
   if (Peers)
     Peers->send(effect.To, effect.Body);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -45,6 +45,7 @@
   void post(const EventBody &body) override;
 
 private:
+  void assignRecords();
   void drainEvents();
   void execute(const Effect &effect);
   void armTimer();
@@ -57,6 +58,7 @@
   void on(const FinishAnswer &effect);
   void on(const AbortAnswer &effect);
   void on(const RefuseRequest &effect);
+  void on(const ReplayAnswer &effect);
   void on(const SendPeer &effect);
   void on(const MemberChanged &effect);
   void on(const DrainCompleted &effect);
@@ -78,6 +80,7 @@
   Reducer Decisions;
   EffectBuffer Effects;
   std::deque<EventBody> Queue;
+  std::vector<RecordAssignment> Assignments;
   ExchangeTable Exchanges;
   std::unique_ptr<BackHttp> Back;
   std::unique_ptr<FrontHttp> Front;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -4,6 +4,7 @@
 #ifndef GUAVASAIL_SRC_EXCHANGE_H
 #define GUAVASAIL_SRC_EXCHANGE_H
 
+#include "guavasail/event.h"
 #include "guavasail/handle.h"
 #include "guavasail/refusal.h"
 
@@ -71,6 +72,8 @@
   ByteQueue Answer;
   /// Time left for the request when the attempt was started.
   std::chrono::milliseconds Remaining{};
+  /// Copy of a short body, for `Exchange::KeepAnswer`.
+  std::string Kept;
   /// Body bytes of the answer received so far.
   uint64_t AnswerBytes = 0;
   /// Body bytes of the request sent so far.
@@ -109,6 +112,14 @@
   /// The end of the request is in doubt: the connection is not used again.
   bool FramingInDoubt = false;
 
+  /// The arrival, held back until the body is read, if the body belongs to
+  /// the request's fingerprint.
+  std::optional<RequestArrived> Held;
+  /// A short answer in the form that records keep.
+  std::string Kept;
+  /// The answer is kept for a repeated request.
+  bool KeepAnswer = false;
+
   AnswerStage Stage = AnswerStage::Waiting;
   bool AnswerWhole = false;
   bool AnswerChunked = false;
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -1,5 +1,6 @@
 #include "front_http.h"
 
+#include "answer_blob.h"
 #include "http_headers.h"
 #include "http_refusal.h"
 #include "http_request.h"
@@ -212,12 +213,25 @@
     return refuseEarly(wsi, exchange, *fault);
   if (Exchanges.openCount() > Config.Bounds.Requests)
     return refuseEarly(wsi, exchange, RefusalKind::Overloaded);
-  Sink.post(event);
+  bool keyed = event.Repeat == Repeatability::AtMostOnce &&
+               event.IdempotencyKey.present();
+  exchange.KeepAnswer = keyed;
+  bool hold = keyed && event.BodyBytes > 0 &&
+              event.BodyBytes <= Config.Bounds.ReplayBytes;
+  if (hold)
+    exchange.Held = event;
+  else
+    postArrival(exchange, event);
   if (exchange.BodyBytes > 0)
     expectProgress(wsi);
   return 0;
 }
 
+void FrontHttp::postArrival(const Exchange &exchange, RequestArrived event) {
+  event.Fingerprint = requestFingerprint(exchange);
+  Sink.post(event);
+}
+
 int FrontHttp::refuseEarly(lws *, Exchange &exchange, RefusalKind kind) {
   exchange.Stage = AnswerStage::Refusal;
   exchange.Refusal = kind;
@@ -262,7 +276,14 @@
   return 0;
 }
 
-int FrontHttp::onBodyWhole(lws *, std::string_view) { return 0; }
+int FrontHttp::onBodyWhole(lws *wsi, std::string_view) {
+  Exchange *exchange = exchangeOf(wsi);
+  if (exchange && exchange->Held) {
+    postArrival(*exchange, *exchange->Held);
+    exchange->Held.reset();
+  }
+  return 0;
+}
 
 void FrontHttp::bodyDrained(Exchange &exchange) {
   bool resume = exchange.BodyPaused && exchange.Caller &&
@@ -333,6 +354,22 @@
   wantWrite(*exchange);
 }
 
+void FrontHttp::replay(const ReplayAnswer &effect) {
+  Exchange *exchange = Exchanges.find(effect.Request);
+  auto kept = decodeAnswer(effect.Answer);
+  if (!exchange || !kept)
+    return refuse({effect.Request, RefusalKind::AnswerNotKept, {}});
+  BackendCall &call =
+      *exchange->Calls.emplace_back(std::make_unique<BackendCall>());
+  call.Head = std::move(kept->Head);
+  call.Head.Fields.push_back({std::string(ReplayedHeader), "true"});
+  call.Answer.append(kept->Body);
+  exchange->Source = &call;
+  exchange->AnswerWhole = true;
+  exchange->Stage = AnswerStage::Head;
+  wantWrite(*exchange);
+}
+
 void FrontHttp::answerGrew(Exchange &exchange) {
   if (exchange.Stage == AnswerStage::Body)
     wantWrite(exchange);
--- a/src/front_http.h
+++ b/src/front_http.h
@@ -38,6 +38,7 @@
   void finish(const FinishAnswer &effect);
   void abort(const AbortAnswer &effect);
   void refuse(const RefuseRequest &effect);
+  void replay(const ReplayAnswer &effect);
 
   void answerGrew(Exchange &exchange) override;
   void bodyDrained(Exchange &exchange) override;
@@ -68,6 +69,7 @@
   [[nodiscard]] int idleSeconds() const;
   /// Closes the connection unless bytes move within the idle time.
   void expectProgress(lws *wsi) const;
+  void postArrival(const Exchange &exchange, RequestArrived event);
   int answerHealth(lws *wsi, std::string_view path);
   int refuseEarly(lws *wsi, Exchange &exchange, RefusalKind kind);
   int writeHead(Exchange &exchange);
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -20,6 +20,8 @@
 inline constexpr std::string_view TimeoutHeader = "x-request-timeout-ms:";
 /// Header that names a non-idempotent request for safe repetition.
 inline constexpr std::string_view IdempotencyHeader = "idempotency-key:";
+/// Header that marks an answer taken from the record of an earlier request.
+inline constexpr std::string_view ReplayedHeader = "idempotency-replayed:";
 /// Header with the caller's key, besides `Authorization: Bearer`.
 inline constexpr std::string_view KeyHeader = "x-api-key:";
 /// Query parameter with the caller's key.
--- a/src/http_refusal.cpp
+++ b/src/http_refusal.cpp
@@ -34,6 +34,11 @@
     {RefusalKind::OutcomeUnknown, 504},
     {RefusalKind::Draining, 503},
     {RefusalKind::NotReady, 503},
+    {RefusalKind::KeyReused, 422},
+    {RefusalKind::AlreadyInProgress, 409},
+    {RefusalKind::AnswerNotKept, 409},
+    {RefusalKind::RecordsUnavailable, 503},
+    {RefusalKind::RequestQuarantined, 422},
 });
 
 } // namespace
--- a/src/http_request.cpp
+++ b/src/http_request.cpp
@@ -2,6 +2,7 @@
 
 #include "http_headers.h"
 #include "key_digest.h"
+#include "rendezvous.h"
 
 #include <algorithm>
 #include <array>
@@ -251,6 +252,12 @@
   return parseTimeout(wsi, event);
 }
 
+uint64_t requestFingerprint(const Exchange &exchange) {
+  uint64_t hash = rendezvousKey(exchange.Method, exchange.BodyBytes);
+  hash = rendezvousKey(exchange.Target, hash);
+  return rendezvousKey(exchange.Body, hash);
+}
+
 std::string escapePath(std::string_view text) {
   return escape(text, PathPunctuation);
 }
--- /dev/null
+++ b/src/quarantine.h
@@ -0,0 +1,69 @@
+/// \file
+/// Recognizes requests that crash the backend servers which run them.
+#ifndef GUAVASAIL_SRC_QUARANTINE_H
+#define GUAVASAIL_SRC_QUARANTINE_H
+
+#include "guavasail/clock.h"
+
+#include <array>
+#include <cstdint>
+
+namespace guavasail {
+
+/// Bounds of the quarantine.
+struct QuarantineLimits {
+  /// Distinct instances lost before a request is refused.
+  uint32_t Instances = 2;
+  /// Time within which the instances have to be lost.
+  Duration Window = std::chrono::seconds(60);
+  /// Time for which the request is refused.
+  Duration Hold = std::chrono::seconds(120);
+};
+
+/// Requests, by fingerprint, that instances were lost with. A request that
+/// ends well on any instance is forgotten.
+class Quarantine {
+public:
+  explicit Quarantine(const QuarantineLimits &limits) : Bounds(limits) {}
+
+  /// Notes that \p instance was lost while it ran the request.
+  /// \returns true if the request is refused from now on and was not before.
+  bool noteCrash(uint64_t fingerprint, uint64_t instance, Instant now);
+
+  /// Notes that the request ended well.
+  void noteSuccess(uint64_t fingerprint);
+
+  /// Refuses the request until \p until.
+  void impose(uint64_t fingerprint, Instant until, Instant now);
+
+  /// \returns the time for which the request is still refused, zero if it is
+  /// not.
+  [[nodiscard]] Duration remaining(uint64_t fingerprint, Instant now) const;
+
+  /// \returns the number of distinct instances lost with the request.
+  [[nodiscard]] uint32_t crashes(uint64_t fingerprint) const;
+
+private:
+  static constexpr size_t Capacity = 256;
+  static constexpr size_t MaxInstances = 4;
+
+  struct Suspect {
+    uint64_t Fingerprint = 0;
+    std::array<uint64_t, MaxInstances> Instances{};
+    uint32_t Count = 0;
+    Instant LastCrash{};
+    Instant HeldUntil{};
+  };
+
+  [[nodiscard]] const Suspect *find(uint64_t fingerprint) const;
+  Suspect &findOrReplace(uint64_t fingerprint, Instant now);
+
+  QuarantineLimits Bounds;
+  std::array<Suspect, Capacity> Suspects{};
+  /// True while no fingerprint is suspected, which is the usual case.
+  bool Empty = true;
+};
+
+} // namespace guavasail
+
+#endif
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -24,6 +24,7 @@
 /// Handlers in the order of the alternatives of `EventBody`.
 constexpr std::array<Handler, std::variant_size_v<EventBody>> Handlers = {
     &call<CatalogAccepted, &ReducerState::onCatalogAccepted>,
+    &call<RecordsAssigned, &ReducerState::onRecordsAssigned>,
     &call<RequestArrived, &ReducerState::onRequestArrived>,
     &call<CallerGone, &ReducerState::onCallerGone>,
     &call<AttemptAnswered, &ReducerState::onAttemptAnswered>,
@@ -36,6 +37,16 @@
     &call<VmListRead, &ReducerState::onVmListRead>,
 };
 
+using TimerHandler = void (ReducerState::*)(const Timer &, Step &);
+
+/// Handlers in the order of `TimerKind`.
+constexpr TimerHandler TimerHandlers[] = {
+    &ReducerState::onDeadline,
+    &ReducerState::onClaimRetry,
+    &ReducerState::onClaimTimeout,
+    &ReducerState::onRecordUpkeep,
+};
+
 } // namespace
 
 Reducer::Reducer(const ReducerInit &init)
@@ -56,7 +67,11 @@
 ReducerState::ReducerState(const ReducerInit &init)
     : Bounds(init.Bounds), Members(membershipInit(init), Catalog),
       Health(init.Detector), Picker(init.Balance, init.Seed),
-      Zone(Catalog.zone(init.Zone)) {}
+      Records(RecordLimits{}), Suspects(QuarantineLimits{}),
+      Tokens(init.Seed), Self{vmId(init.Name), init.Incarnation},
+      Zone(Catalog.zone(init.Zone)) {
+  Records.setSelf(Self);
+}
 
 void ReducerState::onCatalogAccepted(const CatalogAccepted &event, Step &step) {
   Catalog.accept(*event.Catalog);
@@ -79,8 +94,11 @@
 }
 
 void ReducerState::onTimeAdvanced(const TimeAdvanced &, Step &step) {
-  while (Timers.nextDue() <= step.Now)
-    onDeadline(Timers.pop(), step);
+  while (Timers.nextDue() <= step.Now) {
+    Timer timer = Timers.pop();
+    TimerHandler handler = TimerHandlers[static_cast<size_t>(timer.Kind)];
+    (this->*handler)(timer, step);
+  }
   if (Health.nextTick() <= step.Now)
     onHealthTick(step);
   if (Members.nextDue() <= step.Now)
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -38,6 +38,11 @@
 } // namespace
 
 void ReducerState::startAttempt(Request &request, Step &step) {
+  // A VM that was paused must not send what others consider ended.
+  if (step.Now >= request.Deadline)
+    return refuse(request,
+                  refusalAfterFault(request, RefusalKind::DeadlineTooShort),
+                  step);
   ServiceHandle service = Catalog.at(request.Route).Service;
   InstanceHandle instance =
       Picker.pick({Catalog, Instances, Health.table(), Subsets.at(service),
@@ -80,6 +85,7 @@
     return startAttempt(*request, step);
   }
   request->Phase = RequestPhase::Relaying;
+  request->Status = event.Status;
   step.Effects.push(RelayAnswer{request->Current});
 }
 
@@ -89,6 +95,11 @@
   if (!request)
     return;
   Health.attemptDropped(event.Attempt);
+  if (request->Status < FirstServerErrorStatus)
+    Suspects.noteSuccess(request->Fingerprint);
+  RecordState end =
+      request->MayHaveRun ? RecordState::Done : RecordState::Released;
+  settleClaim(*request, end, event.Answer, step);
   step.Effects.push(FinishAnswer{request->Self});
   closeRequest(*request, step);
 }
@@ -99,6 +110,8 @@
     return;
   request->MayHaveRun |= event.MayHaveRun;
   Health.attemptEnded(event.Attempt, outcomeOf(event.Fault), step.Now);
+  if (event.Fault == AttemptFault::Reset)
+    reportCrash(*request, step);
   if (request->Phase == RequestPhase::Relaying) {
     step.Effects.push(AbortAnswer{request->Self});
     return closeRequest(*request, step);
@@ -108,7 +121,9 @@
 
 void ReducerState::retryOrRefuse(Request &request, RefusalKind kind,
                                  Step &step) {
-  if (mayRepeat(request) && request.Attempts < Bounds.Attempts)
+  bool harmful =
+      Suspects.remaining(request.Fingerprint, step.Now) > Duration::zero();
+  if (!harmful && mayRepeat(request) && request.Attempts < Bounds.Attempts)
     return startAttempt(request, step);
   refuse(request, refusalAfterFault(request, kind), step);
 }
@@ -117,8 +132,11 @@
   Request *request = Requests.find(timer.Attempt.Request);
   if (!request)
     return;
+  if (request->Phase == RequestPhase::Claiming)
+    return refuse(*request, RefusalKind::RecordsUnavailable, step);
   Health.attemptTimedOut(request->Current, step.Now);
   step.Effects.push(CancelAttempt{request->Current});
+  request->MayHaveRun = true;
   if (request->Phase == RequestPhase::Relaying) {
     step.Effects.push(AbortAnswer{request->Self});
     return closeRequest(*request, step);
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -32,17 +32,24 @@
   Request &request = Requests.open(event.Request);
   request.Phase = RequestPhase::Trying;
   request.Repeat = event.Repeat;
+  request.Fingerprint = event.Fingerprint;
   request.BodyReplayable = event.BodyBytes <= Bounds.ReplayBytes;
   request.Arrived = step.Now;
   request.Route = Catalog.route(event.Path);
   request.Workspace = Catalog.workspace(event.Key);
   if (auto fault = admissionFault(*this, request, event.Key))
     return refuse(request, *fault, step);
+  Duration held = Suspects.remaining(event.Fingerprint, step.Now);
+  if (held > Duration::zero())
+    return refuse(request, RefusalKind::RequestQuarantined, step, held);
   Duration allowed = Catalog.at(request.Route).Timeout;
   if (event.Allowed > Duration::zero())
     allowed = std::min(allowed, event.Allowed);
   request.Deadline = step.Now + allowed;
   Timers.arm({request.Deadline, {request.Self, 0}, TimerKind::RequestDeadline});
+  if (event.Repeat == Repeatability::AtMostOnce &&
+      event.IdempotencyKey.present())
+    return beginClaim(request, event.IdempotencyKey, step);
   startAttempt(request, step);
 }
 
@@ -50,8 +57,11 @@
   Request *request = Requests.find(event.Request);
   if (!request)
     return;
-  Health.attemptDropped(request->Current);
-  step.Effects.push(CancelAttempt{request->Current});
+  if (request->Phase != RequestPhase::Claiming) {
+    Health.attemptDropped(request->Current);
+    step.Effects.push(CancelAttempt{request->Current});
+    request->MayHaveRun = true;
+  }
   closeRequest(*request, step);
 }
 
@@ -62,6 +72,11 @@
 }
 
 void ReducerState::closeRequest(Request &request, Step &step) {
+  // Unless the answer was recorded, all that is known is whether a backend
+  // server may have seen the request.
+  settleClaim(request,
+              request.MayHaveRun ? RecordState::Unknown : RecordState::Released,
+              {}, step);
   Requests.close(request);
   if (Draining && Requests.open() == 0)
     step.Effects.push(DrainCompleted{});
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -12,9 +12,15 @@
 #include "health_fleet.h"
 #include "instance_table.h"
 #include "membership.h"
+#include "quarantine.h"
+#include "record_book.h"
+#include "record_claim.h"
 #include "request_table.h"
 #include "subset.h"
 #include "timer_heap.h"
+#include "vm_index.h"
+
+#include <random>
 
 namespace guavasail {
 
@@ -33,6 +39,31 @@
   void onDrainRequested(const DrainRequested &event, Step &step);
   void onTimeAdvanced(const TimeAdvanced &event, Step &step);
 
+  // Records of non-idempotent requests (reducer_record.cpp).
+  void onRecordsAssigned(const RecordsAssigned &event, Step &step);
+  void onPeer(VmHandle from, const RecordClaim &message, Step &step);
+  void onPeer(VmHandle from, const RecordClaimReply &message, Step &step);
+  void onPeer(VmHandle from, const RecordSettle &message, Step &step);
+  void onPeer(VmHandle from, const RecordCopyAsk &message, Step &step);
+  void onPeer(VmHandle from, const RecordCopyPart &message, Step &step);
+  void beginClaim(Request &request, const Digest &key, Step &step);
+  void sendClaims(Request &request, Step &step);
+  void takeClaimReply(Request &request, uint32_t position,
+                      const RecordClaimReply &reply, Step &step);
+  void decideClaim(Request &request, ClaimDecision decision,
+                   std::string_view answer, Step &step);
+  void settleClaim(Request &request, RecordState state, std::string_view answer,
+                   Step &step);
+  void onClaimRetry(const Timer &timer, Step &step);
+  void onClaimTimeout(const Timer &timer, Step &step);
+  void onRecordUpkeep(const Timer &timer, Step &step);
+
+  // Requests that crash backend servers (reducer_quarantine.cpp).
+  void onPeer(VmHandle from, const CrashReport &message, Step &step);
+  void onPeer(VmHandle from, const QuarantineNotice &message, Step &step);
+  void reportCrash(const Request &request, Step &step);
+  void takeCrash(uint64_t fingerprint, uint64_t instance, Step &step);
+
   // Callers (reducer_request.cpp).
   void onRequestArrived(const RequestArrived &event, Step &step);
   void onCallerGone(const CallerGone &event, Step &step);
@@ -74,6 +105,14 @@
   RequestTable Requests;
   TimerHeap Timers;
   Balancer Picker;
+  RecordBook Records;
+  Quarantine Suspects;
+  VmIndex VmIds;
+  std::vector<CopyRequest> CopyRequests;
+  /// Source of claim tokens.
+  std::mt19937_64 Tokens;
+  RecordHolder Self;
+  bool UpkeepArmed = false;
   ZoneHandle Zone;
   bool Ready = false;
   bool Draining = false;
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -46,6 +46,16 @@
      "This VM is shutting down."},
     {RefusalKind::NotReady, "not-ready", RunState::NotRun,
      "This VM has no configuration yet."},
+    {RefusalKind::KeyReused, "key-reused", RunState::NotRun,
+     "The idempotency key was used for another request."},
+    {RefusalKind::AlreadyInProgress, "already-in-progress",
+     RunState::InProgress, "A request with this idempotency key is running."},
+    {RefusalKind::AnswerNotKept, "answer-not-kept", RunState::HasRun,
+     "The request ran before; its answer was too large to keep."},
+    {RefusalKind::RecordsUnavailable, "records-unavailable", RunState::NotRun,
+     "The records that keep the request from running twice are out of reach."},
+    {RefusalKind::RequestQuarantined, "request-quarantined", RunState::NotRun,
+     "Backend servers were lost while they ran this request."},
 });
 
 constexpr bool orderedByKind() {
@@ -57,7 +67,7 @@
 static_assert(orderedByKind());
 
 constexpr auto RunStateNames = std::to_array<std::string_view>(
-    {"not-run", "may-have-run", "outcome-unknown"});
+    {"not-run", "may-have-run", "outcome-unknown", "in-progress", "has-run"});
 
 } // namespace
 
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -8,6 +8,7 @@
 #include "guavasail/event.h"
 #include "guavasail/handle.h"
 #include "guavasail/refusal.h"
+#include "record_claim.h"
 
 #include <cstdint>
 #include <vector>
@@ -15,7 +16,7 @@
 namespace guavasail {
 
 /// Progress of a request.
-enum class RequestPhase : uint8_t { Free, Trying, Relaying };
+enum class RequestPhase : uint8_t { Free, Claiming, Trying, Relaying };
 
 /// One request in progress.
 struct Request {
@@ -36,6 +37,12 @@
   AttemptHandle Current;
   InstanceHandle Instance;
   Instant AttemptStarted;
+  /// Hash of the method, path and body; 0 if it is not known.
+  uint64_t Fingerprint = 0;
+  /// Status of the answer that is relayed.
+  uint32_t Status = 0;
+  /// The claim on the request's record, if it needs one.
+  ClaimProgress Claim;
 };
 
 /// Flat table of requests.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -23,9 +23,10 @@
 
 /// A member that a key fills in.
 template <typename Spec>
-using MemberOf = std::variant<std::string Spec::*, uint32_t Spec::*,
-                              uint64_t Spec::*, Duration Spec::*,
-                              std::vector<std::string> Spec::*, Digest Spec::*>;
+using MemberOf =
+    std::variant<bool Spec::*, std::string Spec::*, uint32_t Spec::*,
+                 uint64_t Spec::*, Duration Spec::*,
+                 std::vector<std::string> Spec::*, Digest Spec::*>;
 
 /// What a text has to be, besides a string.
 struct TextRule {
@@ -67,6 +68,7 @@
 constexpr auto DaemonFields = std::to_array<Field<DaemonSettings>>({
     {"name", &DaemonSettings::Name},
     {"zone", &DaemonSettings::Zone, true},
+    {"first_start", &DaemonSettings::FirstStart},
     {"listen_address", &DaemonSettings::ListenAddress, false, 0, 0,
      &AddressRule},
     {"listen_port", &DaemonSettings::ListenPort, false, 1, MaxPort},
@@ -189,9 +191,16 @@
                  std::string(Entry.Rule->Expected));
   }
 
+  void operator()(bool Spec::*member) {
+    if (auto value = Node.template value_exact<bool>())
+      Target.*member = *value;
+    else
+      wrongType("true or false");
+  }
+
   template <typename Integer>
-  requires std::is_unsigned_v<Integer>
-  void operator()(Integer Spec::*member) {
+  requires std::is_unsigned_v<Integer> &&(!std::is_same_v<Integer, bool>)void
+  operator()(Integer Spec::*member) {
     if (auto value = number())
       Target.*member = static_cast<Integer>(*value);
   }
--- a/src/timer_heap.h
+++ b/src/timer_heap.h
@@ -13,7 +13,12 @@
 namespace guavasail {
 
 /// What a timer is for.
-enum class TimerKind : uint8_t { RequestDeadline };
+enum class TimerKind : uint8_t {
+  RequestDeadline,
+  ClaimRetry,
+  ClaimTimeout,
+  RecordUpkeep,
+};
 
 /// One armed timer. A timer of a finished request is ignored when it fires.
 struct Timer {
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -1,5 +1,7 @@
 #include "session.h"
 
+#include "vm_index.h"
+
 #include <array>
 #include <functional>
 #include <sstream>
@@ -50,6 +52,9 @@
     return "refuse " + std::to_string(it.Request.Index) + " " +
            std::string(spec.Name) + " " + std::string(runStateName(spec.Run));
   }
+  std::string operator()(const ReplayAnswer &it) const {
+    return "replay " + std::to_string(it.Request.Index) + " " + it.Answer;
+  }
   std::string operator()(const SendPeer &it) const {
     return "send " + std::to_string(it.To.Value);
   }
@@ -89,6 +94,8 @@
 
   static ReducerInit sessionInit() {
     ReducerInit init;
+    init.Name = "vm-0";
+    init.Incarnation = 1;
     init.Zone = "cabo-vela";
     init.Balance = BalanceKind::RoundRobin;
     init.Seed = SessionSeed;
@@ -132,7 +139,17 @@
     return CatalogAccepted{&Catalog};
   }
 
+  /// assign: this VM alone holds all records, from its first start on.
+  EventBody assign(const Words &) {
+    RecordAssignment assignment;
+    assignment.Epoch = 1;
+    assignment.Holders.Items[0] = {vmId("vm-0"), 1};
+    Assignments.assign(RecordPartitions, assignment);
+    return RecordsAssigned{Assignments};
+  }
+
   /// request INDEX METHOD PATH [key NAME] [body BYTES] [allow MS]
+  /// [idem NAME] [print NUMBER]
   EventBody request(const Words &words) {
     RequestArrived event;
     event.Request = handle(words.at(1));
@@ -143,6 +160,10 @@
     for (size_t n = 4; n + 1 < words.size(); n += 2) {
       if (words[n] == "key")
         event.Key = sampleDigest(words[n + 1]);
+      if (words[n] == "idem")
+        event.IdempotencyKey = sampleDigest(words[n + 1]);
+      if (words[n] == "print")
+        event.Fingerprint = std::stoull(words[n + 1]);
       if (words[n] == "body")
         event.BodyBytes = std::stoull(words[n + 1]);
       if (words[n] == "allow")
@@ -162,8 +183,14 @@
     return event;
   }
 
+  /// completed ATTEMPT [ANSWER]
   EventBody completed(const Words &words) {
-    return AttemptCompleted{attempt(words.at(1))};
+    AttemptCompleted event;
+    event.Attempt = attempt(words.at(1));
+    if (words.size() > 2)
+      Answer = words[2];
+    event.Answer = words.size() > 2 ? std::string_view(Answer) : "";
+    return event;
   }
 
   /// failed ATTEMPT connect|reset|truncated
@@ -189,7 +216,9 @@
   Reducer Decisions;
   EffectBuffer Effects;
   CatalogSpec Catalog;
+  std::vector<RecordAssignment> Assignments;
   std::string Path;
+  std::string Answer;
   std::string Out;
   Instant Now = SessionStart;
 };
@@ -197,6 +226,7 @@
 std::span<const SessionRunner::Row> SessionRunner::rows() {
   static constexpr Row Rows[] = {
       {"catalog", &SessionRunner::catalog},
+      {"assign", &SessionRunner::assign},
       {"request", &SessionRunner::request},
       {"gone", &SessionRunner::gone},
       {"answered", &SessionRunner::answered},
