Give back crashes of quarantined requests to the instances' health

Cause: a request that crashes what runs it was counted as evidence against the instances. Change: once a request is quarantined, its own attempts are forgiven.

--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -78,10 +78,10 @@
 /// No request is in progress and the VM was asked to stop.
 struct DrainCompleted {};
 
-using Effect = std::variant<StartAttempt, CancelAttempt, RelayAnswer,
-                            FinishAnswer, AbortAnswer, RefuseRequest,
-                            ReplayAnswer, SendPeer, MemberChanged,
-                            DrainCompleted>;
+using Effect =
+    std::variant<StartAttempt, CancelAttempt, RelayAnswer, FinishAnswer,
+                 AbortAnswer, RefuseRequest, ReplayAnswer, SendPeer,
+                 MemberChanged, DrainCompleted>;
 
 /// Collects effects. The memory is used again for each event.
 class EffectBuffer {
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -62,98 +62,100 @@
   static constexpr std::tuple Members{
       &VerdictUpdate::Service, &VerdictUpdate::Version, &VerdictUpdate::Last,
       &VerdictUpdate::Entries};
-  template <> inline constexpr uint64_t PeerEnumCount<RecordState> = 4;
-  template <> inline constexpr uint64_t PeerEnumCount<ClaimVerdict> = 8;
-
-  template <> struct PeerFields<RequestHandle> {
-    static constexpr std::tuple Members{&RequestHandle::Index,
-                                        &RequestHandle::Generation};
-  };
-
-  template <> struct PeerFields<RecordClaim> {
-    static constexpr uint32_t Kind = 10;
-    static constexpr std::tuple Members{
-        &RecordClaim::Record, &RecordClaim::Fingerprint, &RecordClaim::Epoch,
-        &RecordClaim::Token,  &RecordClaim::Request,     &RecordClaim::RunsFor};
-  };
-
-  template <> struct PeerFields<RecordClaimReply> {
-    static constexpr uint32_t Kind = 11;
-    static constexpr std::tuple Members{
-        &RecordClaimReply::Record,  &RecordClaimReply::Token,
-        &RecordClaimReply::Request, &RecordClaimReply::Verdict,
-        &RecordClaimReply::Epoch,   &RecordClaimReply::Answer};
-  };
-
-  template <> struct PeerFields<RecordSettle> {
-    static constexpr uint32_t Kind = 12;
-    static constexpr std::tuple Members{
-        &RecordSettle::Record, &RecordSettle::Fingerprint, &RecordSettle::Token,
-        &RecordSettle::State, &RecordSettle::Answer};
-  };
-
-  template <> struct PeerFields<RecordCopy> {
-    static constexpr std::tuple Members{
-        &RecordCopy::Record, &RecordCopy::Fingerprint, &RecordCopy::Token,
-        &RecordCopy::State,  &RecordCopy::RunsFor,     &RecordCopy::Age,
-        &RecordCopy::Answer};
-  };
-
-  template <> struct PeerFields<RecordCopyAsk> {
-    static constexpr uint32_t Kind = 13;
-    static constexpr std::tuple Members{
-        &RecordCopyAsk::Partition, &RecordCopyAsk::Epoch, &RecordCopyAsk::From};
-  };
-
-  template <> struct PeerFields<RecordCopyPart> {
-    static constexpr uint32_t Kind = 14;
-    static constexpr std::tuple Members{
-        &RecordCopyPart::Partition, &RecordCopyPart::Epoch,
-        &RecordCopyPart::From,      &RecordCopyPart::Next,
-        &RecordCopyPart::LossyFor,  &RecordCopyPart::Records};
-  };
-
-  template <> struct PeerFields<CrashReport> {
-    static constexpr uint32_t Kind = 15;
-    static constexpr std::tuple Members{&CrashReport::Fingerprint,
-                                        &CrashReport::Instance};
-  };
-
-  template <> struct PeerFields<QuarantineNotice> {
-    static constexpr uint32_t Kind = 16;
-    static constexpr std::tuple Members{&QuarantineNotice::Fingerprint,
-                                        &QuarantineNotice::Remaining};
-  };
-
-  template <> inline constexpr uint64_t PeerEnumCount<VmState> = 6;
-
-  template <> struct PeerFields<MemberUpdate> {
-    static constexpr std::tuple Members{
-        &MemberUpdate::Name,        &MemberUpdate::State,
-        &MemberUpdate::Incarnation, &MemberUpdate::Address,
-        &MemberUpdate::PeerPort,    &MemberUpdate::Zone,
-        &MemberUpdate::Region};
-  };
-
-  template <> struct PeerFields<MemberPing> {
-    static constexpr uint32_t Kind = 2;
-    static constexpr std::tuple Members{
-        &MemberPing::Sequence, &MemberPing::Incarnation, &MemberPing::Leaving,
-        &MemberPing::Joining, &MemberPing::Updates};
-  };
-
-  template <> struct PeerFields<MemberAck> {
-    static constexpr uint32_t Kind = 3;
-    static constexpr std::tuple Members{
-        &MemberAck::Sequence, &MemberAck::Incarnation, &MemberAck::Leaving,
-        &MemberAck::Relayed,  &MemberAck::Reached,     &MemberAck::Updates};
-  };
-
-  template <> struct PeerFields<MemberPingRequest> {
-    static constexpr uint32_t Kind = 4;
-    static constexpr std::tuple Members{&MemberPingRequest::Sequence,
-                                        &MemberPingRequest::Target};
-  };
+};
+
+template <> inline constexpr uint64_t PeerEnumCount<RecordState> = 4;
+template <> inline constexpr uint64_t PeerEnumCount<ClaimVerdict> = 8;
+
+template <> struct PeerFields<RequestHandle> {
+  static constexpr std::tuple Members{&RequestHandle::Index,
+                                      &RequestHandle::Generation};
+};
+
+template <> struct PeerFields<RecordClaim> {
+  static constexpr uint32_t Kind = 10;
+  static constexpr std::tuple Members{
+      &RecordClaim::Record, &RecordClaim::Fingerprint, &RecordClaim::Epoch,
+      &RecordClaim::Token,  &RecordClaim::Request,     &RecordClaim::RunsFor};
+};
+
+template <> struct PeerFields<RecordClaimReply> {
+  static constexpr uint32_t Kind = 11;
+  static constexpr std::tuple Members{
+      &RecordClaimReply::Record,  &RecordClaimReply::Token,
+      &RecordClaimReply::Request, &RecordClaimReply::Verdict,
+      &RecordClaimReply::Epoch,   &RecordClaimReply::Answer};
+};
+
+template <> struct PeerFields<RecordSettle> {
+  static constexpr uint32_t Kind = 12;
+  static constexpr std::tuple Members{
+      &RecordSettle::Record, &RecordSettle::Fingerprint, &RecordSettle::Token,
+      &RecordSettle::State, &RecordSettle::Answer};
+};
+
+template <> struct PeerFields<RecordCopy> {
+  static constexpr std::tuple Members{
+      &RecordCopy::Record, &RecordCopy::Fingerprint, &RecordCopy::Token,
+      &RecordCopy::State,  &RecordCopy::RunsFor,     &RecordCopy::Age,
+      &RecordCopy::Answer};
+};
+
+template <> struct PeerFields<RecordCopyAsk> {
+  static constexpr uint32_t Kind = 13;
+  static constexpr std::tuple Members{
+      &RecordCopyAsk::Partition, &RecordCopyAsk::Epoch, &RecordCopyAsk::From};
+};
+
+template <> struct PeerFields<RecordCopyPart> {
+  static constexpr uint32_t Kind = 14;
+  static constexpr std::tuple Members{
+      &RecordCopyPart::Partition, &RecordCopyPart::Epoch,
+      &RecordCopyPart::From,      &RecordCopyPart::Next,
+      &RecordCopyPart::LossyFor,  &RecordCopyPart::Records};
+};
+
+template <> struct PeerFields<CrashReport> {
+  static constexpr uint32_t Kind = 15;
+  static constexpr std::tuple Members{&CrashReport::Fingerprint,
+                                      &CrashReport::Instance};
+};
+
+template <> struct PeerFields<QuarantineNotice> {
+  static constexpr uint32_t Kind = 16;
+  static constexpr std::tuple Members{&QuarantineNotice::Fingerprint,
+                                      &QuarantineNotice::Remaining};
+};
+
+template <> inline constexpr uint64_t PeerEnumCount<VmState> = 6;
+
+template <> struct PeerFields<MemberUpdate> {
+  static constexpr std::tuple Members{
+      &MemberUpdate::Name,        &MemberUpdate::State,
+      &MemberUpdate::Incarnation, &MemberUpdate::Address,
+      &MemberUpdate::PeerPort,    &MemberUpdate::Zone,
+      &MemberUpdate::Region};
+};
+
+template <> struct PeerFields<MemberPing> {
+  static constexpr uint32_t Kind = 2;
+  static constexpr std::tuple Members{
+      &MemberPing::Sequence, &MemberPing::Incarnation, &MemberPing::Leaving,
+      &MemberPing::Joining, &MemberPing::Updates};
+};
+
+template <> struct PeerFields<MemberAck> {
+  static constexpr uint32_t Kind = 3;
+  static constexpr std::tuple Members{
+      &MemberAck::Sequence, &MemberAck::Incarnation, &MemberAck::Leaving,
+      &MemberAck::Relayed,  &MemberAck::Reached,     &MemberAck::Updates};
+};
+
+template <> struct PeerFields<MemberPingRequest> {
+  static constexpr uint32_t Kind = 4;
+  static constexpr std::tuple Members{&MemberPingRequest::Sequence,
+                                      &MemberPingRequest::Target};
+};
 
 } // namespace guavasail
 
--- a/src/reducer_quarantine.cpp
+++ b/src/reducer_quarantine.cpp
@@ -14,6 +14,10 @@
     return;
   uint64_t instance = rendezvousKey(Catalog.name(request.Instance), 0);
   takeCrash(request.Fingerprint, instance, step);
+  bool held =
+      Suspects.remaining(request.Fingerprint, step.Now) > Duration::zero();
+  for (uint32_t n = 1; held && n <= request.Attempts; ++n)
+    Health.forgive({request.Self, n});
   // One VM gathers the reports of all VMs on a fingerprint.
   MemberView members = Members.view();
   VmHandle owner =
