--- a/src/catalog_index.cpp
+++ b/src/catalog_index.cpp
@@ -87,6 +87,7 @@
   RouteHandle handle = RouteNames.intern(spec.Name);
   RouteEntry &entry = grow(Routes, handle);
   entry.Service = ServiceNames.find(spec.Service);
+  entry.Prefix = spec.Prefix;
   entry.Timeout = spec.Timeout;
   entry.Present = entry.Service.valid();
   entry.Workspaces.clear();
--- a/src/catalog_index.h
+++ b/src/catalog_index.h
@@ -9,6 +9,7 @@
 #include "name_table.h"
 
 #include <span>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,7 @@
 };
 
 struct RouteEntry {
+  std::string Prefix;
   ServiceHandle Service;
   Duration Timeout{};
   /// Sorted; empty means every workspace.
