Rates summed over all VMs, with leased shares of each rate

Cause: a workspace's rate and burst were configured and never enforced. Change: each rate is cut into fixed shares. A share is leased through the store; its owner mints at its part of the rate and lends tokens as grants that end on monotonic clocks. What was lent counts against the share's burst until it is returned or has ended. A new owner starts empty after the longest lifetime of old grants. VMs ask one VM of their zone, which gathers from the owners of all shares. Requests that wait for tokens are in the phase Asking.

--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -7,6 +7,7 @@
 #include "guavasail/clock.h"
 #include "guavasail/handle.h"
 #include "guavasail/member.h"
+#include "guavasail/ownership.h"
 #include "guavasail/peer_message.h"
 #include "guavasail/refusal.h"
 
@@ -75,13 +76,18 @@
   VmState State = VmState::Unknown;
 };
 
+/// Claim, renew or release a share at the store. The reply may be lost.
+struct CallShareStore {
+  ShareCall Call;
+};
+
 /// No request is in progress and the VM was asked to stop.
 struct DrainCompleted {};
 
 using Effect =
     std::variant<StartAttempt, CancelAttempt, RelayAnswer, FinishAnswer,
                  AbortAnswer, RefuseRequest, ReplayAnswer, SendPeer,
-                 MemberChanged, DrainCompleted>;
+                 MemberChanged, CallShareStore, DrainCompleted>;
 
 /// Collects effects. The memory is used again for each event.
 class EffectBuffer {
--- a/include/guavasail/event.h
+++ b/include/guavasail/event.h
@@ -8,6 +8,7 @@
 #include "guavasail/digest.h"
 #include "guavasail/handle.h"
 #include "guavasail/member.h"
+#include "guavasail/ownership.h"
 #include "guavasail/peer_message.h"
 
 #include <cstdint>
@@ -115,6 +116,11 @@
   std::span<const VmSpec> Vms;
 };
 
+/// The store answered a `CallShareStore`.
+struct ShareReplied {
+  ShareReply Reply;
+};
+
 /// Time passed; due timers fire.
 struct TimeAdvanced {};
 
@@ -124,7 +130,8 @@
 using EventBody =
     std::variant<CatalogAccepted, RecordsAssigned, RequestArrived, CallerGone,
                  AttemptAnswered, AttemptCompleted, AttemptFailed, LaneFreed,
-                 PeerArrived, TimeAdvanced, DrainRequested, VmListRead>;
+                 PeerArrived, ShareReplied, TimeAdvanced, DrainRequested,
+                 VmListRead>;
 
 /// One input of the reducer.
 struct Event {
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -106,11 +106,71 @@
   std::string Target;
 };
 
+/// How an ask is to be answered.
+enum class TokenAskMode : uint8_t {
+  /// With whole tokens, gathered from other VMs if need be.
+  Gather,
+  /// With whole tokens of shares that the asked VM owns.
+  Whole,
+  /// As Whole, and with parts of a token.
+  Parts,
+};
+
+/// Asks for tokens of one workspace.
+struct TokenAskEntry {
+  /// Digest of the workspace's name.
+  uint64_t Workspace = 0;
+  /// Names the ask; grows with each ask of one asker.
+  uint64_t Serial = 0;
+  /// Millionths of a token.
+  int64_t Want = 0;
+  TokenAskMode Mode = TokenAskMode::Gather;
+  /// The tokens are used at once: the grant has the short lifetime.
+  bool AtOnce = false;
+};
+
+/// Gives a grant back that is used up or not needed.
+struct TokenClose {
+  uint64_t Serial = 0;
+  /// Millionths of a token that were not used.
+  int64_t Unused = 0;
+};
+
+/// Asks for tokens and closes earlier grants.
+struct TokenAsk {
+  /// Identity of the asker's process run.
+  uint64_t Asker = 0;
+  std::vector<TokenAskEntry> Asks;
+  std::vector<TokenClose> Closes;
+};
+
+/// Answers one ask.
+struct TokenGrantEntry {
+  uint64_t AskSerial = 0;
+  /// Names the grant; meaningless if the amount is 0.
+  uint64_t Serial = 0;
+  /// Millionths of a token.
+  int64_t Amount = 0;
+  /// Lifetime in microseconds, counted from when the ask was sent.
+  int64_t Life = 0;
+  /// If nothing was granted: microseconds until an ask can succeed.
+  int64_t RetryAfter = 0;
+  /// The answering VM owns no share of this workspace.
+  bool NotOwner = false;
+};
+
+/// Answers asks.
+struct TokenGrant {
+  /// Copied from the asks.
+  uint64_t Asker = 0;
+  std::vector<TokenGrantEntry> Grants;
+};
+
 using PeerBody =
     std::variant<Heartbeat, EvidenceReport, VerdictUpdate, MemberPing,
                  MemberAck, MemberPingRequest, RecordClaim, RecordClaimReply,
                  RecordSettle, RecordCopyAsk, RecordCopyPart, CrashReport,
-                 QuarantineNotice>;
+                 QuarantineNotice, TokenAsk, TokenGrant>;
 
 } // namespace guavasail
 
--- a/include/guavasail/reducer.h
+++ b/include/guavasail/reducer.h
@@ -8,6 +8,7 @@
 #include "guavasail/health.h"
 #include "guavasail/limits.h"
 #include "guavasail/member.h"
+#include "guavasail/rate.h"
 
 #include <cstdint>
 #include <memory>
@@ -41,6 +42,8 @@
   /// zero.
   uint64_t Incarnation = 0;
   MembershipKind Membership = MembershipKind::Probing;
+  /// How rates are shared among VMs.
+  RateInit Rates;
   /// Seed of every random choice.
   uint64_t Seed = 1;
 };
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -253,6 +253,7 @@
             std::string_view(Decisions.state().Members.entry(effect.Vm).Name)},
            {"state", vmStateName(effect.State)}});
 }
+void Daemon::on(const CallShareStore &) {}
 void Daemon::on(const DrainCompleted &) {
   // Answers may still be on their way to callers.
   Drained = true;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -61,6 +61,7 @@
   void on(const ReplayAnswer &effect);
   void on(const SendPeer &effect);
   void on(const MemberChanged &effect);
+  void on(const CallShareStore &effect);
   void on(const DrainCompleted &effect);
 
   static void onTimer(uv_timer_t *timer);
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -157,6 +157,36 @@
                                       &MemberPingRequest::Target};
 };
 
+template <> inline constexpr uint64_t PeerEnumCount<TokenAskMode> = 3;
+
+template <> struct PeerFields<TokenAskEntry> {
+  static constexpr std::tuple Members{
+      &TokenAskEntry::Workspace, &TokenAskEntry::Serial, &TokenAskEntry::Want,
+      &TokenAskEntry::Mode, &TokenAskEntry::AtOnce};
+};
+
+template <> struct PeerFields<TokenClose> {
+  static constexpr std::tuple Members{&TokenClose::Serial, &TokenClose::Unused};
+};
+
+template <> struct PeerFields<TokenAsk> {
+  static constexpr uint32_t Kind = 30;
+  static constexpr std::tuple Members{&TokenAsk::Asker, &TokenAsk::Asks,
+                                      &TokenAsk::Closes};
+};
+
+template <> struct PeerFields<TokenGrantEntry> {
+  static constexpr std::tuple Members{
+      &TokenGrantEntry::AskSerial,  &TokenGrantEntry::Serial,
+      &TokenGrantEntry::Amount,     &TokenGrantEntry::Life,
+      &TokenGrantEntry::RetryAfter, &TokenGrantEntry::NotOwner};
+};
+
+template <> struct PeerFields<TokenGrant> {
+  static constexpr uint32_t Kind = 31;
+  static constexpr std::tuple Members{&TokenGrant::Asker, &TokenGrant::Grants};
+};
+
 } // namespace guavasail
 
 #endif
--- /dev/null
+++ b/src/rate_request.cpp
@@ -0,0 +1,104 @@
+/// \file
+/// Rates on the request path: requests that wait for tokens.
+#include "reducer_state.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace guavasail {
+
+void ReducerState::acceptRates(Step &step) {
+  std::vector<RateLimit> limits;
+  auto workspaces = Catalog.workspaces();
+  limits.reserve(workspaces.size());
+  for (uint32_t n = 0; n < workspaces.size(); ++n)
+    limits.push_back({rateKey(Catalog.name(WorkspaceHandle{n})),
+                      workspaces[n].RatePerSecond, workspaces[n].Burst});
+  Rates.setLimits(limits, step.Now);
+}
+
+void ReducerState::acceptRateMembers(Step &step) {
+  MemberView view = Members.view();
+  std::vector<RateMember> members;
+  members.reserve(view.Vms.size());
+  for (const VmEntry &it : view.Vms) {
+    bool known = it.Zone.valid();
+    members.push_back({rateKey(it.Name) ^ it.Incarnation,
+                       known ? rateKey(Catalog.name(it.Zone)) : 0,
+                       it.State == VmState::Alive});
+  }
+  if (view.Self.valid())
+    Rates.setMembers(members, view.Self, step.Now);
+}
+
+void ReducerState::admitByRate(Request &request, Step &step) {
+  Duration waited = step.Now - request.Arrived;
+  bool mayAsk = waited < Rates.init().AskWait;
+  Admission admission = Rates.admit(request.Workspace, step.Now, mayAsk);
+  bool first = request.Phase != RequestPhase::Asking;
+  switch (admission.Kind) {
+  case AdmissionKind::Admit:
+    request.Phase = RequestPhase::Trying;
+    return beginRun(request, step);
+  case AdmissionKind::Refuse:
+    return refuse(request, RefusalKind::RateExceeded, step,
+                  admission.RetryAfter);
+  case AdmissionKind::Ask:
+    break;
+  }
+  request.Phase = RequestPhase::Asking;
+  if (first) {
+    Asking.push_back(request.Self);
+    Timers.arm({request.Arrived + Rates.init().AskWait,
+                {request.Self, 0},
+                TimerKind::RateDecision});
+  }
+}
+
+void ReducerState::resumeAsking(Step &step) {
+  for (WorkspaceHandle workspace : Rates.refreshed()) {
+    // Requests that wait on are kept in order; ended ones are dropped.
+    size_t kept = 0;
+    for (size_t n = 0; n < Asking.size(); ++n) {
+      Request *request = Requests.find(Asking[n]);
+      if (!request || request->Phase != RequestPhase::Asking)
+        continue;
+      if (request->Workspace == workspace)
+        admitByRate(*request, step);
+      if (request->Phase == RequestPhase::Asking)
+        Asking[kept++] = request->Self;
+    }
+    Asking.resize(kept);
+  }
+  Rates.clearRefreshed();
+}
+
+void ReducerState::onRateTimer(const Timer &timer, Step &step) {
+  Request *request = Requests.find(timer.Attempt.Request);
+  if (request && request->Phase == RequestPhase::Asking)
+    admitByRate(*request, step);
+}
+
+void ReducerState::onPeer(VmHandle from, const TokenAsk &message, Step &step) {
+  Rates.onAsk(from, message, step.Now);
+  resumeAsking(step);
+}
+
+void ReducerState::onPeer(VmHandle from, const TokenGrant &message,
+                          Step &step) {
+  Rates.onGrant(from, message, step.Now);
+  resumeAsking(step);
+}
+
+void ReducerState::onShareReplied(const ShareReplied &event, Step &step) {
+  Rates.shares().onReply(event.Reply, step.Now);
+}
+
+void ReducerState::flushRates(Step &step) {
+  Rates.flush(step.Effects);
+  for (const ShareCall &it : Rates.shares().calls())
+    step.Effects.push(CallShareStore{it});
+  Rates.shares().clearCalls();
+}
+
+} // namespace guavasail
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -32,6 +32,7 @@
     &call<AttemptFailed, &ReducerState::onAttemptFailed>,
     &call<LaneFreed, &ReducerState::onLaneFreed>,
     &call<PeerArrived, &ReducerState::onPeerArrived>,
+    &call<ShareReplied, &ReducerState::onShareReplied>,
     &call<TimeAdvanced, &ReducerState::onTimeAdvanced>,
     &call<DrainRequested, &ReducerState::onDrainRequested>,
     &call<VmListRead, &ReducerState::onVmListRead>,
@@ -41,10 +42,9 @@
 
 /// Handlers in the order of `TimerKind`.
 constexpr TimerHandler TimerHandlers[] = {
-    &ReducerState::onDeadline,
-    &ReducerState::onClaimRetry,
-    &ReducerState::onClaimTimeout,
-    &ReducerState::onRecordUpkeep,
+    &ReducerState::onDeadline,     &ReducerState::onClaimRetry,
+    &ReducerState::onClaimTimeout, &ReducerState::onRecordUpkeep,
+    &ReducerState::onRateTimer,
 };
 
 } // namespace
@@ -57,18 +57,19 @@
 void Reducer::reduce(const Event &event, EffectBuffer &effects) {
   Step step{event.Now, effects};
   Handlers[event.Body.index()](*State, event.Body, step);
+  State->flushRates(step);
 }
 
 Instant Reducer::nextWake() const {
   return std::min({State->Timers.nextDue(), State->Health.nextTick(),
-                   State->Members.nextDue()});
+                   State->Members.nextDue(), State->Rates.nextWake()});
 }
 
 ReducerState::ReducerState(const ReducerInit &init)
     : Bounds(init.Bounds), Members(membershipInit(init), Catalog),
       Health(init.Detector), Picker(init.Balance, init.Seed),
-      Records(RecordLimits{}), Suspects(QuarantineLimits{}),
-      Tokens(init.Seed), Self{vmId(init.Name), init.Incarnation},
+      Records(RecordLimits{}), Suspects(QuarantineLimits{}), Tokens(init.Seed),
+      Rates(init.Rates), Self{vmId(init.Name), init.Incarnation},
       Zone(Catalog.zone(init.Zone)) {
   Records.setSelf(Self);
 }
@@ -78,6 +79,7 @@
   Instances.resize(Catalog.instances().size());
   Health.acceptCatalog(Catalog, step.Now);
   Subsets.refresh(Catalog, Members.view(), Zone, Bounds.LanesPerInstance);
+  acceptRates(step);
   Ready = true;
 }
 
@@ -99,6 +101,8 @@
     TimerHandler handler = TimerHandlers[static_cast<size_t>(timer.Kind)];
     (this->*handler)(timer, step);
   }
+  Rates.advance(step.Now);
+  resumeAsking(step);
   if (Health.nextTick() <= step.Now)
     onHealthTick(step);
   if (Members.nextDue() <= step.Now)
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -134,6 +134,8 @@
     return;
   if (request->Phase == RequestPhase::Claiming)
     return refuse(*request, RefusalKind::RecordsUnavailable, step);
+  if (request->Phase == RequestPhase::Asking)
+    return refuse(*request, RefusalKind::RateExceeded, step);
   Health.attemptTimedOut(request->Current, step.Now);
   step.Effects.push(CancelAttempt{request->Current});
   request->MayHaveRun = true;
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -47,9 +47,15 @@
     allowed = std::min(allowed, event.Allowed);
   request.Deadline = step.Now + allowed;
   Timers.arm({request.Deadline, {request.Self, 0}, TimerKind::RequestDeadline});
-  if (event.Repeat == Repeatability::AtMostOnce &&
-      event.IdempotencyKey.present())
-    return beginClaim(request, event.IdempotencyKey, step);
+  request.IdempotencyKey = event.IdempotencyKey;
+  admitByRate(request, step);
+}
+
+void ReducerState::beginRun(Request &request, Step &step) {
+  bool keyed = request.Repeat == Repeatability::AtMostOnce &&
+               request.IdempotencyKey.present();
+  if (keyed)
+    return beginClaim(request, request.IdempotencyKey, step);
   startAttempt(request, step);
 }
 
@@ -57,7 +63,8 @@
   Request *request = Requests.find(event.Request);
   if (!request)
     return;
-  if (request->Phase != RequestPhase::Claiming) {
+  if (request->Phase == RequestPhase::Trying ||
+      request->Phase == RequestPhase::Relaying) {
     Health.attemptDropped(request->Current);
     step.Effects.push(CancelAttempt{request->Current});
     request->MayHaveRun = true;
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -8,6 +8,7 @@
 #include "guavasail/effect.h"
 #include "guavasail/event.h"
 #include "guavasail/limits.h"
+#include "guavasail/rate.h"
 #include "guavasail/reducer.h"
 #include "health_fleet.h"
 #include "instance_table.h"
@@ -87,6 +88,20 @@
   void onPeer(VmHandle from, const MemberAck &message, Step &step);
   void onPeer(VmHandle from, const MemberPingRequest &message, Step &step);
 
+  // Rates (rate_request.cpp).
+  void onPeer(VmHandle from, const TokenAsk &message, Step &step);
+  void onPeer(VmHandle from, const TokenGrant &message, Step &step);
+  void onShareReplied(const ShareReplied &event, Step &step);
+  void acceptRates(Step &step);
+  void acceptRateMembers(Step &step);
+  void admitByRate(Request &request, Step &step);
+  void resumeAsking(Step &step);
+  void onRateTimer(const Timer &timer, Step &step);
+  void flushRates(Step &step);
+
+  /// Starts an admitted request: claims its record if it needs one.
+  void beginRun(Request &request, Step &step);
+
   // Steps shared by handlers.
   void startAttempt(Request &request, Step &step);
   void retryOrRefuse(Request &request, RefusalKind kind, Step &step);
@@ -113,6 +128,9 @@
   std::mt19937_64 Tokens;
   RecordHolder Self;
   bool UpkeepArmed = false;
+  RatePart Rates;
+  /// Requests in the phase `Asking`, in order of arrival.
+  std::vector<RequestHandle> Asking;
   ZoneHandle Zone;
   bool Ready = false;
   bool Draining = false;
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -16,7 +16,7 @@
 namespace guavasail {
 
 /// Progress of a request.
-enum class RequestPhase : uint8_t { Free, Claiming, Trying, Relaying };
+enum class RequestPhase : uint8_t { Free, Asking, Claiming, Trying, Relaying };
 
 /// One request in progress.
 struct Request {
@@ -41,6 +41,8 @@
   uint64_t Fingerprint = 0;
   /// Status of the answer that is relayed.
   uint32_t Status = 0;
+  /// Digest of the caller's idempotency key, absent if none came.
+  Digest IdempotencyKey;
   /// The claim on the request's record, if it needs one.
   ClaimProgress Claim;
 };
--- a/src/timer_heap.h
+++ b/src/timer_heap.h
@@ -18,6 +18,7 @@
   ClaimRetry,
   ClaimTimeout,
   RecordUpkeep,
+  RateDecision,
 };
 
 /// One armed timer. A timer of a finished request is ignored when it fires.
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -62,6 +62,10 @@
     return "member " + std::to_string(it.Vm.Value) + " state " +
            std::to_string(static_cast<int>(it.State));
   }
+  std::string operator()(const CallShareStore &it) const {
+    return "call share " + std::to_string(it.Call.Share.Partition) + "." +
+           std::to_string(it.Call.Share.Share);
+  }
   std::string operator()(const DrainCompleted &) const {
     return "drain completed";
   }
