Changes of the configuration as typed commands on immutable chunks

Configuration came from one file and was accepted whole.

A change is a list of typed commands, applied together or refused with the item that is at fault. The index takes a patch of entries in place of the whole catalog. Audit texts are built from the items and hold no digest of a key.

--- /dev/null
+++ b/include/guavasail/store.h
@@ -0,0 +1,156 @@
+/// \file
+/// The platform's key-value service: values, requests as effects, replies as
+/// events. The encoding is elsewhere.
+#ifndef GUAVASAIL_STORE_H
+#define GUAVASAIL_STORE_H
+
+#include "guavasail/catalog.h"
+#include "guavasail/clock.h"
+#include "guavasail/config_change.h"
+#include "guavasail/digest.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace guavasail {
+
+/// A change that was accepted lately.
+struct RecentChange {
+  std::string Id;
+  std::string Author;
+  uint64_t Version = 0;
+  uint64_t UnixMillis = 0;
+  /// Hashes of the items that it touched.
+  std::vector<uint64_t> Items;
+
+  friend bool operator==(const RecentChange &, const RecentChange &) = default;
+};
+
+/// The head of the configuration, moved by compare-and-swap.
+struct ConfigHead {
+  uint64_t Version = 0;
+  /// Digest of the chunk in each slot; absent for an empty slot.
+  std::vector<Digest> Chunks;
+  /// Oldest first; the last one made this version.
+  std::vector<RecentChange> Recent;
+
+  friend bool operator==(const ConfigHead &, const ConfigHead &) = default;
+};
+
+/// The part of the catalog in one slot, each list ordered by name. Immutable
+/// in the store: its name is its digest.
+struct CatalogChunk {
+  std::vector<ServiceSpec> Services;
+  std::vector<RouteSpec> Routes;
+  std::vector<WorkspaceSpec> Workspaces;
+};
+
+/// A difference between two catalogs.
+struct CatalogPatch {
+  CatalogChunk Put;
+  std::vector<std::string> DropServices;
+  std::vector<std::string> DropRoutes;
+  std::vector<std::string> DropWorkspaces;
+};
+
+/// One item of an audit record. The texts hold key ids and never digests.
+struct AuditItem {
+  ItemName Item;
+  /// Empty if the item did not exist before.
+  std::string Before;
+  /// Empty if the item does not exist afterwards.
+  std::string After;
+};
+
+/// What one accepted change did.
+struct AuditRecord {
+  uint64_t Version = 0;
+  std::string ChangeId;
+  std::string Author;
+  uint64_t UnixMillis = 0;
+  /// Id of the change before; empty for the first one.
+  std::string PreviousId;
+  std::vector<AuditItem> Items;
+};
+
+using StoreValue =
+    std::variant<std::monostate, ConfigHead, CatalogChunk, AuditRecord>;
+
+/// Parts of the store's key space.
+enum class StoreSpace : uint8_t { Head, Chunk, Audit };
+
+/// Names one key of the store.
+struct StoreKey {
+  StoreSpace Space = StoreSpace::Head;
+  /// Name of a chunk.
+  Digest Chunk;
+  /// Version and change id of an audit record.
+  uint64_t Version = 0;
+  std::string_view ChangeId;
+};
+
+/// Who asked the store.
+enum class StoreUser : uint8_t { Watch, Writer, Audit };
+
+/// Ties a reply to its request.
+struct StoreTicket {
+  StoreUser User = StoreUser::Watch;
+  uint32_t Number = 0;
+
+  friend constexpr auto operator<=>(const StoreTicket &,
+                                    const StoreTicket &) = default;
+};
+
+/// Read a key.
+struct StoreRead {
+  StoreTicket Ticket;
+  StoreKey Key;
+};
+
+/// Write a key if its revision is `Expected`; 0 stands for an absent key.
+struct StoreWrite {
+  StoreTicket Ticket;
+  StoreKey Key;
+  uint64_t Expected = 0;
+  const StoreValue *Value = nullptr;
+};
+
+/// Read a key once its revision is above `After`, or after `Wait`.
+struct StoreWatch {
+  StoreTicket Ticket;
+  StoreKey Key;
+  uint64_t After = 0;
+  Duration Wait{};
+};
+
+/// How a request to the store ended.
+enum class StoreOutcome : uint8_t {
+  Ok,
+  /// The key does not exist.
+  Missing,
+  /// The revision was not the expected one; `Revision` is the actual one.
+  Conflict,
+  /// A watch ended without a change.
+  Unchanged,
+  /// The store refused the request or was not reached; nothing was written.
+  Unavailable,
+  /// No reply; a write may have taken effect or may still do so.
+  Lost,
+};
+
+/// A request to the store ended.
+struct StoreReplied {
+  StoreTicket Ticket;
+  StoreOutcome Outcome = StoreOutcome::Lost;
+  uint64_t Revision = 0;
+  /// Set for a read or watch that ended with `Ok`.
+  const StoreValue *Value = nullptr;
+};
+
+} // namespace guavasail
+
+#endif
--- a/src/catalog_index.cpp
+++ b/src/catalog_index.cpp
@@ -44,11 +44,12 @@
   }
   for (RouteEntry &entry : Routes)
     entry.Present = false;
-  for (WorkspaceEntry &entry : Workspaces)
+  for (WorkspaceEntry &entry : Workspaces) {
     entry.Present = false;
+    entry.Keys.clear();
+  }
   Keys.clear();
-  Prefixes = {};
-  RouteOfPrefix.clear();
+  std::fill(RouteOfPrefix.begin(), RouteOfPrefix.end(), RouteHandle{});
 }
 
 void CatalogIndex::acceptService(const ServiceSpec &spec) {
@@ -79,28 +80,90 @@
   entry.RatePerSecond = spec.RatePerSecond;
   entry.Burst = spec.Burst;
   entry.Present = true;
-  for (const KeySpec &key : spec.Keys)
+  for (const KeySpec &key : spec.Keys) {
     Keys.emplace(key.Value, handle);
+    entry.Keys.push_back(key.Value);
+  }
 }
 
 void CatalogIndex::acceptRoute(const RouteSpec &spec) {
   RouteHandle handle = RouteNames.intern(spec.Name);
   RouteEntry &entry = grow(Routes, handle);
   entry.Service = ServiceNames.find(spec.Service);
-  entry.Prefix = spec.Prefix;
   entry.Timeout = spec.Timeout;
   entry.Present = entry.Service.valid();
   entry.Workspaces.clear();
   for (const std::string &name : spec.Workspaces)
     entry.Workspaces.push_back(WorkspaceNames.intern(name));
   std::sort(entry.Workspaces.begin(), entry.Workspaces.end());
-  grow(RouteOfPrefix, Prefixes.intern(spec.Prefix)) = handle;
+  entry.Prefix = Prefixes.intern(spec.Prefix);
+  grow(RouteOfPrefix, entry.Prefix) = handle;
+}
+
+void CatalogIndex::apply(const CatalogPatch &patch, uint64_t version) {
+  Version = version;
+  // What is put is dropped first, so that keys and prefixes may move.
+  for (const std::string &it : patch.DropRoutes)
+    dropRoute(it);
+  for (const RouteSpec &it : patch.Put.Routes)
+    dropRoute(it.Name);
+  for (const std::string &it : patch.DropWorkspaces)
+    dropWorkspace(it);
+  for (const WorkspaceSpec &it : patch.Put.Workspaces)
+    dropWorkspace(it.Name);
+  for (const std::string &it : patch.DropServices)
+    dropService(it);
+  for (const ServiceSpec &it : patch.Put.Services)
+    dropService(it.Name);
+  for (const ServiceSpec &it : patch.Put.Services)
+    acceptService(it);
+  for (const WorkspaceSpec &it : patch.Put.Workspaces)
+    acceptWorkspace(it);
+  for (const RouteSpec &it : patch.Put.Routes)
+    acceptRoute(it);
+}
+
+void CatalogIndex::dropService(std::string_view name) {
+  ServiceHandle handle = ServiceNames.find(name);
+  if (!handle.valid() || handle.Value >= Services.size())
+    return;
+  ServiceEntry &entry = Services[handle.Value];
+  for (InstanceHandle it : entry.Instances)
+    Instances[it.Value].Present = false;
+  entry.Instances.clear();
+  entry.Present = false;
+}
+
+void CatalogIndex::dropRoute(std::string_view name) {
+  RouteHandle handle = RouteNames.find(name);
+  if (!handle.valid() || !Routes[handle.Value].Present)
+    return;
+  RouteEntry &entry = Routes[handle.Value];
+  entry.Present = false;
+  RouteHandle &owner = RouteOfPrefix[entry.Prefix.Value];
+  if (owner == handle)
+    owner = {};
+}
+
+void CatalogIndex::dropWorkspace(std::string_view name) {
+  WorkspaceHandle handle = WorkspaceNames.find(name);
+  // A route may have named a workspace that was never accepted.
+  if (!handle.valid() || handle.Value >= Workspaces.size())
+    return;
+  WorkspaceEntry &entry = Workspaces[handle.Value];
+  for (const Digest &key : entry.Keys) {
+    auto it = Keys.find(key);
+    if (it != Keys.end() && it->second == handle)
+      Keys.erase(it);
+  }
+  entry.Keys.clear();
+  entry.Present = false;
 }
 
 RouteHandle CatalogIndex::route(std::string_view path) const {
   while (!path.empty()) {
-    RouteHandle prefix = Prefixes.find(path);
-    if (prefix.valid())
+    auto prefix = Prefixes.find(path);
+    if (prefix.valid() && RouteOfPrefix[prefix.Value].valid())
       return RouteOfPrefix[prefix.Value];
     if (path == "/")
       break;
--- a/src/catalog_index.h
+++ b/src/catalog_index.h
@@ -6,6 +6,7 @@
 #include "digest_hash.h"
 #include "guavasail/catalog.h"
 #include "guavasail/handle.h"
+#include "guavasail/store.h"
 #include "name_table.h"
 
 #include <span>
@@ -31,7 +32,7 @@
 };
 
 struct RouteEntry {
-  std::string Prefix;
+  Handle<struct PrefixTag> Prefix;
   ServiceHandle Service;
   Duration Timeout{};
   /// Sorted; empty means every workspace.
@@ -43,6 +44,7 @@
   uint32_t Weight = 1;
   uint32_t RatePerSecond = 0;
   uint32_t Burst = 0;
+  std::vector<Digest> Keys;
   bool Present = false;
 };
 
@@ -52,6 +54,11 @@
   /// Takes over \p spec. Entries keep the handles of their names.
   void accept(const CatalogSpec &spec);
 
+  /// Takes over a difference to the catalog accepted before.
+  /// \param patch entries to put and to drop.
+  /// \param version the version that it leads to.
+  void apply(const CatalogPatch &patch, uint64_t version);
+
   /// \returns the route with the longest prefix of \p path that ends at a
   /// segment border, invalid if there is none.
   [[nodiscard]] RouteHandle route(std::string_view path) const;
@@ -104,6 +111,11 @@
     return ZoneNames.name(handle);
   }
 
+  /// \returns the path prefix of a route.
+  [[nodiscard]] std::string_view prefix(const RouteEntry &route) const {
+    return Prefixes.name(route.Prefix);
+  }
+
   /// \returns the handle of a zone name, interned if new.
   ZoneHandle zone(std::string_view name) { return ZoneNames.intern(name); }
   [[nodiscard]] ServiceHandle findService(std::string_view name) const {
@@ -123,6 +135,9 @@
                       const InstanceSpec &spec);
   void acceptWorkspace(const WorkspaceSpec &spec);
   void acceptRoute(const RouteSpec &spec);
+  void dropService(std::string_view name);
+  void dropRoute(std::string_view name);
+  void dropWorkspace(std::string_view name);
 
   uint64_t Version = 0;
   NameTable<ZoneHandle> ZoneNames;
@@ -134,7 +149,7 @@
   std::vector<ServiceEntry> Services;
   std::vector<RouteEntry> Routes;
   std::vector<WorkspaceEntry> Workspaces;
-  NameTable<RouteHandle> Prefixes;
+  NameTable<Handle<PrefixTag>> Prefixes;
   std::vector<RouteHandle> RouteOfPrefix;
   std::unordered_map<Digest, WorkspaceHandle, DigestHash> Keys;
 };
--- a/src/query_answer.cpp
+++ b/src/query_answer.cpp
@@ -99,7 +99,7 @@
     return text(State.Catalog.name(RouteHandle{row}));
   }
   [[nodiscard]] QueryCell routePrefix(uint32_t row) const {
-    return text(State.Catalog.routes()[row].Prefix);
+    return text(State.Catalog.prefix(State.Catalog.routes()[row]));
   }
   [[nodiscard]] QueryCell routeService(uint32_t row) const {
     return text(State.Catalog.name(State.Catalog.routes()[row].Service));
