Configuration from the store, spread by peers, with fresh-until marks

Every daemon must hold the newest accepted version within seconds, stop a withdrawn key within 5 s even when it is cut off, and go on through hours of a general store outage.

- A keeper holds one version and never goes back.
A few watchers per zone, computed by rendezvous hashing, confirm the head each second by a compare-and-swap that cannot succeed: unlike a read, its answer never comes from the past.
- Others ask for the age of that confirmation.
The answer counts from when the question was sent, so a delay can only make it older.
- Without a fresh mark a VM refuses (not-fresh, not run), unless watchers that hear a majority of the VMs fail to reach the store in most zones.
- A writer puts chunks and the audit record before it moves the head, finds out lost replies by the change id, names the other change in a conflict, and reports a change as spread once a majority of the VMs holds it.

--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -10,6 +10,7 @@
 #include "guavasail/ownership.h"
 #include "guavasail/peer_message.h"
 #include "guavasail/refusal.h"
+#include "guavasail/store.h"
 
 #include <span>
 #include <string>
@@ -81,13 +82,26 @@
   ShareCall Call;
 };
 
+/// A proposed change ended.
+struct ChangeConcluded {
+  ChangeOutcome Outcome;
+};
+
+/// The records that were asked for, newest first.
+struct AuditAnswered {
+  std::span<const AuditRecord> Records;
+  /// False if the store did not give all of them.
+  bool Complete = false;
+};
+
 /// No request is in progress and the VM was asked to stop.
 struct DrainCompleted {};
 
 using Effect =
     std::variant<StartAttempt, CancelAttempt, RelayAnswer, FinishAnswer,
                  AbortAnswer, RefuseRequest, ReplayAnswer, SendPeer,
-                 MemberChanged, CallShareStore, DrainCompleted>;
+                 MemberChanged, CallShareStore, StoreRead, StoreWrite,
+                 StoreWatch, ChangeConcluded, AuditAnswered, DrainCompleted>;
 
 /// Collects effects. The memory is used again for each event.
 class EffectBuffer {
--- a/include/guavasail/event.h
+++ b/include/guavasail/event.h
@@ -10,6 +10,7 @@
 #include "guavasail/member.h"
 #include "guavasail/ownership.h"
 #include "guavasail/peer_message.h"
+#include "guavasail/store.h"
 
 #include <cstdint>
 #include <span>
@@ -121,6 +122,17 @@
   ShareReply Reply;
 };
 
+/// An operator proposes a change. It ends with one `ChangeConcluded`.
+struct ChangeProposed {
+  const Change *Proposal = nullptr;
+};
+
+/// An operator asks for the newest audit records. It ends with one
+/// `AuditAnswered`.
+struct AuditAsked {
+  uint32_t Count = 0;
+};
+
 /// Time passed; due timers fire.
 struct TimeAdvanced {};
 
@@ -131,7 +143,7 @@
     std::variant<CatalogAccepted, RecordsAssigned, RequestArrived, CallerGone,
                  AttemptAnswered, AttemptCompleted, AttemptFailed, LaneFreed,
                  PeerArrived, ShareReplied, TimeAdvanced, DrainRequested,
-                 VmListRead>;
+                 VmListRead, StoreReplied, ChangeProposed, AuditAsked>;
 
 /// One input of the reducer.
 struct Event {
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -7,6 +7,7 @@
 #include "guavasail/health.h"
 #include "guavasail/member.h"
 #include "guavasail/record.h"
+#include "guavasail/store.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -166,11 +167,80 @@
   std::vector<TokenGrantEntry> Grants;
 };
 
+/// Asks how fresh the receiver's configuration is.
+struct ConfigAsk {
+  /// Echoed in the answer.
+  uint32_t Number = 0;
+  /// Version in force at the sender.
+  uint64_t Version = 0;
+};
+
+/// A watcher of the zone did not reach the store.
+struct ZoneAway {
+  std::string Zone;
+  /// Time since the attempt began.
+  Duration Age{};
+};
+
+/// Answers a `ConfigAsk`: `MarkAge` ago the store's newest version was
+/// `MarkVersion`.
+struct ConfigMark {
+  uint32_t Number = 0;
+  /// Version in force at the sender.
+  uint64_t Version = 0;
+  uint64_t MarkVersion = 0;
+  /// `Duration::max()` if the sender has no mark.
+  Duration MarkAge = Duration::max();
+  std::vector<ZoneAway> Away;
+};
+
+/// Asks for what leads from a version to the receiver's version.
+struct ConfigFetch {
+  uint64_t Version = 0;
+  /// Asks for the head and not for changes.
+  bool Whole = false;
+};
+
+/// One accepted change.
+struct ConfigDelta {
+  /// Version to which the patch applies.
+  uint64_t From = 0;
+  RecentChange Change;
+  CatalogPatch Patch;
+  /// Digest over the chunk digests afterwards.
+  Digest Result;
+};
+
+/// The head in force at the sender.
+struct ConfigOutline {
+  ConfigHead Head;
+};
+
+/// Asks for entries of a chunk.
+struct ConfigChunkAsk {
+  Digest Chunk;
+  uint32_t Slot = 0;
+  /// Entries that the sender has already.
+  uint32_t Offset = 0;
+};
+
+/// Entries of a chunk, from `Offset` on.
+struct ConfigChunkPart {
+  Digest Chunk;
+  uint32_t Slot = 0;
+  uint32_t Offset = 0;
+  /// Entries of the whole chunk.
+  uint32_t Total = 0;
+  CatalogChunk Entries;
+};
+
 using PeerBody =
     std::variant<Heartbeat, EvidenceReport, VerdictUpdate, MemberPing,
                  MemberAck, MemberPingRequest, RecordClaim, RecordClaimReply,
                  RecordSettle, RecordCopyAsk, RecordCopyPart, CrashReport,
-                 QuarantineNotice, TokenAsk, TokenGrant>;
+                 QuarantineNotice, TokenAsk, TokenGrant, ConfigAsk, ConfigMark,
+                 ConfigFetch, ConfigDelta, ConfigOutline, ConfigChunkAsk,
+                 ConfigChunkPart>;
 
 } // namespace guavasail
 
--- a/include/guavasail/reducer.h
+++ b/include/guavasail/reducer.h
@@ -44,6 +44,8 @@
   MembershipKind Membership = MembershipKind::Probing;
   /// How rates are shared among VMs.
   RateInit Rates;
+  /// True if the catalog comes from the store and not from the settings.
+  bool Stored = false;
   /// Seed of every random choice.
   uint64_t Seed = 1;
 };
--- a/include/guavasail/refusal.h
+++ b/include/guavasail/refusal.h
@@ -35,6 +35,7 @@
   AnswerNotKept,
   RecordsUnavailable,
   RequestQuarantined,
+  NotFresh,
 };
 
 /// What is known about the execution of a refused request.
--- /dev/null
+++ b/src/freshness.cpp
@@ -0,0 +1,72 @@
+#include "freshness.h"
+
+#include <algorithm>
+
+namespace guavasail {
+
+void measureReach(const MemberView &members, ZoneHandle self, Instant now,
+                  FleetReach &reach) {
+  reach.Zones.clear();
+  if (self.valid())
+    reach.Zones.push_back(self);
+  uint32_t listed = 1;
+  uint32_t alive = 1;
+  for (uint32_t n = 0; n < members.Vms.size(); ++n) {
+    const VmEntry &vm = members.Vms[n];
+    if (members.Self.Value == n || !listedVm(vm))
+      continue;
+    ++listed;
+    alive += vm.State == VmState::Alive ? 1 : 0;
+    auto &zones = reach.Zones;
+    if (std::find(zones.begin(), zones.end(), vm.Zone) == zones.end())
+      zones.push_back(vm.Zone);
+  }
+  reach.HearsMajority = alive * 2 > listed && !members.mayBeCutOff(now);
+}
+
+void Freshness::confirm(uint64_t version, Instant at) {
+  learnVersion(version);
+  Mark &mark = version <= InForce ? Usable : Ahead;
+  if (at > mark.At)
+    mark = {version, at};
+}
+
+void Freshness::learnVersion(uint64_t version) {
+  Newest = std::max(Newest, version);
+}
+
+void Freshness::adopt(uint64_t version) {
+  InForce = version;
+  learnVersion(version);
+  if (Ahead.Version > InForce)
+    return;
+  if (Ahead.At > Usable.At)
+    Usable = Ahead;
+  Ahead = {};
+}
+
+void Freshness::noteAway(ZoneHandle zone, Instant at) {
+  if (AwayByZone.size() <= zone.Value)
+    AwayByZone.resize(zone.Value + 1, Instant::min());
+  AwayByZone[zone.Value] = std::max(AwayByZone[zone.Value], at);
+}
+
+Instant Freshness::awayAt(ZoneHandle zone) const {
+  return zone.Value < AwayByZone.size() ? AwayByZone[zone.Value]
+                                        : Instant::min();
+}
+
+FreshState Freshness::judge(Instant now, const FleetReach &reach) const {
+  if (recent(Usable.At, now))
+    return FreshState::Confirmed;
+  if (Newest > InForce)
+    return FreshState::Behind;
+  auto away =
+      std::count_if(reach.Zones.begin(), reach.Zones.end(),
+                    [&](ZoneHandle zone) { return recent(awayAt(zone), now); });
+  bool mostZones = static_cast<size_t>(away) * 2 > reach.Zones.size();
+  return mostZones && reach.HearsMajority ? FreshState::StoreAway
+                                          : FreshState::CutOff;
+}
+
+} // namespace guavasail
--- a/src/http_refusal.cpp
+++ b/src/http_refusal.cpp
@@ -39,6 +39,7 @@
     {RefusalKind::AnswerNotKept, 409},
     {RefusalKind::RecordsUnavailable, 503},
     {RefusalKind::RequestQuarantined, 422},
+    {RefusalKind::NotFresh, 503},
 });
 
 } // namespace
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -187,6 +187,104 @@
   static constexpr std::tuple Members{&TokenGrant::Asker, &TokenGrant::Grants};
 };
 
+template <> struct PeerFields<InstanceSpec> {
+  static constexpr std::tuple Members{
+      &InstanceSpec::Name, &InstanceSpec::Address, &InstanceSpec::Port,
+      &InstanceSpec::Zone, &InstanceSpec::Slots,   &InstanceSpec::Connections};
+};
+
+template <> struct PeerFields<ServiceSpec> {
+  static constexpr std::tuple Members{
+      &ServiceSpec::Name, &ServiceSpec::FloorPercent, &ServiceSpec::Instances};
+};
+
+template <> struct PeerFields<RouteSpec> {
+  static constexpr std::tuple Members{&RouteSpec::Name, &RouteSpec::Prefix,
+                                      &RouteSpec::Service, &RouteSpec::Timeout,
+                                      &RouteSpec::Workspaces};
+};
+
+template <> struct PeerFields<KeySpec> {
+  static constexpr std::tuple Members{&KeySpec::Id, &KeySpec::Value};
+};
+
+template <> struct PeerFields<WorkspaceSpec> {
+  static constexpr std::tuple Members{
+      &WorkspaceSpec::Name, &WorkspaceSpec::Weight,
+      &WorkspaceSpec::RatePerSecond, &WorkspaceSpec::Burst,
+      &WorkspaceSpec::Keys};
+};
+
+template <> struct PeerFields<CatalogChunk> {
+  static constexpr std::tuple Members{&CatalogChunk::Services,
+                                      &CatalogChunk::Routes,
+                                      &CatalogChunk::Workspaces};
+};
+
+template <> struct PeerFields<CatalogPatch> {
+  static constexpr std::tuple Members{
+      &CatalogPatch::Put, &CatalogPatch::DropServices,
+      &CatalogPatch::DropRoutes, &CatalogPatch::DropWorkspaces};
+};
+
+template <> struct PeerFields<RecentChange> {
+  static constexpr std::tuple Members{
+      &RecentChange::Id, &RecentChange::Author, &RecentChange::Version,
+      &RecentChange::UnixMillis, &RecentChange::Items};
+};
+
+template <> struct PeerFields<ConfigHead> {
+  static constexpr std::tuple Members{&ConfigHead::Version, &ConfigHead::Chunks,
+                                      &ConfigHead::Recent};
+};
+
+template <> struct PeerFields<ZoneAway> {
+  static constexpr std::tuple Members{&ZoneAway::Zone, &ZoneAway::Age};
+};
+
+template <> struct PeerFields<ConfigAsk> {
+  static constexpr uint32_t Kind = 40;
+  static constexpr std::tuple Members{&ConfigAsk::Number, &ConfigAsk::Version};
+};
+
+template <> struct PeerFields<ConfigMark> {
+  static constexpr uint32_t Kind = 41;
+  static constexpr std::tuple Members{&ConfigMark::Number, &ConfigMark::Version,
+                                      &ConfigMark::MarkVersion,
+                                      &ConfigMark::MarkAge, &ConfigMark::Away};
+};
+
+template <> struct PeerFields<ConfigFetch> {
+  static constexpr uint32_t Kind = 42;
+  static constexpr std::tuple Members{&ConfigFetch::Version,
+                                      &ConfigFetch::Whole};
+};
+
+template <> struct PeerFields<ConfigDelta> {
+  static constexpr uint32_t Kind = 43;
+  static constexpr std::tuple Members{&ConfigDelta::From, &ConfigDelta::Change,
+                                      &ConfigDelta::Patch,
+                                      &ConfigDelta::Result};
+};
+
+template <> struct PeerFields<ConfigOutline> {
+  static constexpr uint32_t Kind = 44;
+  static constexpr std::tuple Members{&ConfigOutline::Head};
+};
+
+template <> struct PeerFields<ConfigChunkAsk> {
+  static constexpr uint32_t Kind = 45;
+  static constexpr std::tuple Members{
+      &ConfigChunkAsk::Chunk, &ConfigChunkAsk::Slot, &ConfigChunkAsk::Offset};
+};
+
+template <> struct PeerFields<ConfigChunkPart> {
+  static constexpr uint32_t Kind = 46;
+  static constexpr std::tuple Members{
+      &ConfigChunkPart::Chunk, &ConfigChunkPart::Slot, &ConfigChunkPart::Offset,
+      &ConfigChunkPart::Total, &ConfigChunkPart::Entries};
+};
+
 } // namespace guavasail
 
 #endif
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -36,6 +36,9 @@
     &call<TimeAdvanced, &ReducerState::onTimeAdvanced>,
     &call<DrainRequested, &ReducerState::onDrainRequested>,
     &call<VmListRead, &ReducerState::onVmListRead>,
+    &call<StoreReplied, &ReducerState::onStoreReplied>,
+    &call<ChangeProposed, &ReducerState::onChangeProposed>,
+    &call<AuditAsked, &ReducerState::onAuditAsked>,
 };
 
 using TimerHandler = void (ReducerState::*)(const Timer &, Step &);
@@ -62,13 +65,15 @@
 
 Instant Reducer::nextWake() const {
   return std::min({State->Timers.nextDue(), State->Health.nextTick(),
-                   State->Members.nextDue(), State->Rates.nextWake()});
+                   State->Members.nextDue(), State->Rates.nextWake(),
+                   State->Config.nextDue()});
 }
 
 ReducerState::ReducerState(const ReducerInit &init)
     : Bounds(init.Bounds), Members(membershipInit(init), Catalog),
-      Health(init.Detector), Picker(init.Balance, init.Seed),
-      Records(RecordLimits{}), Suspects(QuarantineLimits{}), Tokens(init.Seed),
+      Config(configInit(init)), Health(init.Detector),
+      Picker(init.Balance, init.Seed), Records(RecordLimits{}),
+      Suspects(QuarantineLimits{}), Tokens(init.Seed),
       Rates(init.Rates), Self{vmId(init.Name), init.Incarnation},
       Zone(Catalog.zone(init.Zone)) {
   Records.setSelf(Self);
@@ -76,6 +81,10 @@
 
 void ReducerState::onCatalogAccepted(const CatalogAccepted &event, Step &step) {
   Catalog.accept(*event.Catalog);
+  catalogChanged(step);
+}
+
+void ReducerState::catalogChanged(Step &step) {
   Instances.resize(Catalog.instances().size());
   Health.acceptCatalog(Catalog, step.Now);
   Subsets.refresh(Catalog, Members.view(), Zone, Bounds.LanesPerInstance);
@@ -107,6 +116,7 @@
     onHealthTick(step);
   if (Members.nextDue() <= step.Now)
     Members.advance({step.Now, step.Effects});
+  onConfigTick(step);
 }
 
 } // namespace guavasail
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -15,6 +15,8 @@
     return RefusalKind::NotReady;
   if (state.Draining)
     return RefusalKind::Draining;
+  if (!admits(state.Config.fresh(request.Arrived)))
+    return RefusalKind::NotFresh;
   if (!request.Route.valid())
     return RefusalKind::RouteUnknown;
   if (!key.present())
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -5,6 +5,7 @@
 
 #include "balancer.h"
 #include "catalog_index.h"
+#include "config_part.h"
 #include "guavasail/effect.h"
 #include "guavasail/event.h"
 #include "guavasail/limits.h"
@@ -37,6 +38,7 @@
 
   // Catalog and life cycle (reducer.cpp).
   void onCatalogAccepted(const CatalogAccepted &event, Step &step);
+  void catalogChanged(Step &step);
   void onDrainRequested(const DrainRequested &event, Step &step);
   void onTimeAdvanced(const TimeAdvanced &event, Step &step);
 
@@ -101,6 +103,19 @@
 
   /// Starts an admitted request: claims its record if it needs one.
   void beginRun(Request &request, Step &step);
+  // Configuration (reducer_config.cpp).
+  template <ConfigMessage Message>
+  void onPeer(VmHandle from, const Message &message, Step &step) {
+    Config.onPeer(from, message, configContext(step));
+    takeConfig(step);
+  }
+  static ConfigInit configInit(const ReducerInit &init);
+  ConfigContext configContext(Step &step);
+  void onStoreReplied(const StoreReplied &event, Step &step);
+  void onChangeProposed(const ChangeProposed &event, Step &step);
+  void onAuditAsked(const AuditAsked &event, Step &step);
+  void onConfigTick(Step &step);
+  void takeConfig(Step &step);
 
   // Steps shared by handlers.
   void startAttempt(Request &request, Step &step);
@@ -115,6 +130,7 @@
   CatalogIndex Catalog;
   InstanceTable Instances;
   Membership Members;
+  ConfigPart Config;
   FleetHealth Health;
   SubsetTable Subsets;
   RequestTable Requests;
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -56,6 +56,8 @@
      "The records that keep the request from running twice are out of reach."},
     {RefusalKind::RequestQuarantined, "request-quarantined", RunState::NotRun,
      "Backend servers were lost while they ran this request."},
+    {RefusalKind::NotFresh, "not-fresh", RunState::NotRun,
+     "This VM cannot confirm its configuration."},
 });
 
 constexpr bool orderedByKind() {
