--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -80,9 +80,21 @@
   std::string PreviousSecretEnv;
 };
 
+/// Where the platform's key-value service is. Without it the catalog comes
+/// from the settings file.
+struct StoreSettings {
+  /// IP number in text form.
+  std::string Address = "127.0.0.1";
+  /// 0 if there is no store.
+  uint32_t Port = 0;
+  /// Bearer token, from the environment; it is never in a file or log.
+  std::string Token;
+};
+
 /// Everything in a settings file.
 struct Settings {
   DaemonSettings Daemon;
+  StoreSettings Store;
   Limits Bounds;
   CatalogSpec Catalog;
   PeerSettings Peers;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -69,6 +69,7 @@
   init.Name = settings.Daemon.Name;
   init.Zone = settings.Daemon.Zone;
   init.Seed = randomSeed();
+  init.Stored = settings.Store.Port > 0;
   if (const VmSpec *self = findSelf(settings)) {
     init.Self = *self;
     init.Incarnation = startIncarnation();
@@ -154,7 +155,12 @@
     return StartFault::ListenFailed;
   if (StartFault fault = startPeers(); fault != StartFault::None)
     return fault;
-  post(CatalogAccepted{&Config.Catalog});
+  if (Config.Store.Port > 0) {
+    Store = std::make_unique<StoreHttp>(Context, Config.Store, *this);
+    post(TimeAdvanced{});
+  } else {
+    post(CatalogAccepted{&Config.Catalog});
+  }
   assignRecords();
   drainEvents();
   Front->setServing(ServingState::Ready);
@@ -208,6 +214,8 @@
       execute(effect);
   }
   Exchanges.recycle();
+  if (Store)
+    Store->recycle();
   if (Drained && Exchanges.openCount() == 0 && !Front->ending())
     stopLoop();
   if (Peers)
@@ -254,6 +262,18 @@
            {"state", vmStateName(effect.State)}});
 }
 void Daemon::on(const CallShareStore &) {}
+void Daemon::on(const StoreRead &effect) { Store->start(effect); }
+void Daemon::on(const StoreWrite &effect) { Store->start(effect); }
+void Daemon::on(const StoreWatch &effect) { Store->start(effect); }
+void Daemon::on(const ChangeConcluded &effect) {
+  static constexpr std::string_view Names[] = {"accepted", "conflict",
+                                               "rejected", "outcome-unknown"};
+  std::string_view id = std::visit(
+      [](const auto &it) -> std::string_view { return it.Id; }, effect.Outcome);
+  logLine(LogLevel::Info, "change-concluded",
+          {{"change", id}, {"outcome", Names[effect.Outcome.index()]}});
+}
+void Daemon::on(const AuditAnswered &) {}
 void Daemon::on(const DrainCompleted &) {
   // Answers may still be on their way to callers.
   Drained = true;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -10,6 +10,7 @@
 #include "guavasail/reducer.h"
 #include "guavasail/settings.h"
 #include "peer_transport_uv.h"
+#include "store_http.h"
 
 #include <cstdint>
 #include <deque>
@@ -62,6 +63,11 @@
   void on(const SendPeer &effect);
   void on(const MemberChanged &effect);
   void on(const CallShareStore &effect);
+  void on(const StoreRead &effect);
+  void on(const StoreWrite &effect);
+  void on(const StoreWatch &effect);
+  void on(const ChangeConcluded &effect);
+  void on(const AuditAnswered &effect);
   void on(const DrainCompleted &effect);
 
   static void onTimer(uv_timer_t *timer);
@@ -84,6 +90,7 @@
   std::vector<RecordAssignment> Assignments;
   ExchangeTable Exchanges;
   std::unique_ptr<BackHttp> Back;
+  std::unique_ptr<StoreHttp> Store;
   std::unique_ptr<FrontHttp> Front;
   std::unique_ptr<PeerTransport> Peers;
   Instant Armed = NeverInstant;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -102,6 +102,11 @@
     {"region", &VmSpec::Region},
 });
 
+constexpr auto StoreFields = std::to_array<Field<StoreSettings>>({
+    {"address", &StoreSettings::Address},
+    {"port", &StoreSettings::Port, true, 1, MaxPort},
+});
+
 constexpr auto LimitFields = std::to_array<Field<Limits>>({
     {"requests", &Limits::Requests, false, 1},
     {"caller_connections", &Limits::CallerConnections, false, 1},
@@ -360,6 +365,7 @@
     parseSection("daemon", DaemonFields, Result.Daemon, true);
     overrideFromEnvironment();
     parseSection("limits", LimitFields, Result.Bounds, false);
+    parseSection("store", StoreFields, Result.Store, false);
     parseSection("peers", PeerFields, Result.Peers, false);
     forEachTable(Root, "vm", Faults,
                  [this](const toml::table &it) { parseVm(it); });
@@ -376,12 +382,13 @@
 private:
   void checkTopLevel() {
     static constexpr auto Known = std::to_array<std::string_view>(
-        {"daemon", "limits", "peers", "vm", "service", "workspace", "route"});
+        {"daemon", "limits", "store", "peers", "vm", "service", "workspace",
+         "route"});
     for (const auto &[key, node] : Root)
       if (std::find(Known.begin(), Known.end(), key.str()) == Known.end())
-        Faults.add(SettingsFault::KeyUnknown, lineOf(node),
-                   std::string(key.str()),
-                   "one of daemon limits peers vm service workspace route");
+        Faults.add(
+            SettingsFault::KeyUnknown, lineOf(node), std::string(key.str()),
+            "one of daemon limits store peers vm service workspace route");
   }
 
   template <typename Spec, size_t N>
