--- /dev/null
+++ b/tests/config_fleet.cpp
@@ -0,0 +1,411 @@
+#include "config_fleet.h"
+
+#include <algorithm>
+
+namespace guavasail {
+
+namespace {
+
+constexpr Duration MemberPeriod = std::chrono::milliseconds(250);
+constexpr Duration SuspectAfter = std::chrono::seconds(2);
+constexpr Duration WithdrawalBound = std::chrono::seconds(5);
+
+std::string hex(const Digest &digest) {
+  std::string text;
+  for (uint8_t it : digest.Bytes)
+    text += std::to_string(it) + ".";
+  return text;
+}
+
+const std::string &idOf(const ChangeOutcome &outcome) {
+  return std::visit([](const auto &it) -> const std::string & { return it.Id; },
+                    outcome);
+}
+
+} // namespace
+
+std::string FakeStore::nameOf(const StoreKey &key) {
+  switch (key.Space) {
+  case StoreSpace::Head:
+    return "head";
+  case StoreSpace::Chunk:
+    return "chunk/" + hex(key.Chunk);
+  case StoreSpace::Audit:
+    return "audit/" + std::to_string(key.Version) + "/" +
+           std::string(key.ChangeId);
+  }
+  return {};
+}
+
+StoreReplied FakeStore::read(const StoreRead &request) {
+  const auto &entries = Entries[nameOf(request.Key)];
+  if (entries.empty())
+    return {request.Ticket, StoreOutcome::Missing, 0, nullptr};
+  const Entry &entry =
+      Faults.AnswersFromPast ? entries[entries.size() / 2] : entries.back();
+  return {request.Ticket, StoreOutcome::Ok, entry.Revision, entry.Value.get()};
+}
+
+StoreReplied FakeStore::write(const StoreWrite &request) {
+  auto &entries = Entries[nameOf(request.Key)];
+  uint64_t revision = entries.empty() ? 0 : entries.back().Revision;
+  if (revision != request.Expected)
+    return {request.Ticket, StoreOutcome::Conflict, revision, nullptr};
+  entries.push_back(
+      {++Revisions, std::make_shared<StoreValue>(*request.Value)});
+  return {request.Ticket, StoreOutcome::Ok, Revisions, nullptr};
+}
+
+FakeStore::Entry FakeStore::head() const {
+  auto it = Entries.find("head");
+  return it == Entries.end() || it->second.empty() ? Entry{}
+                                                   : it->second.back();
+}
+
+const AuditRecord *FakeStore::audit(uint64_t version,
+                                    const std::string &id) const {
+  auto it = Entries.find("audit/" + std::to_string(version) + "/" + id);
+  return it == Entries.end()
+             ? nullptr
+             : std::get_if<AuditRecord>(it->second.back().Value.get());
+}
+
+ConfigFleet::ConfigFleet(const FleetInit &init)
+    : Init(init), Random(init.Seed), Nodes(init.Vms) {
+  for (uint32_t vm = 0; vm < init.Vms; ++vm)
+    start(vm);
+}
+
+void ConfigFleet::start(uint32_t vm) {
+  Node &node = Nodes[vm];
+  uint32_t life = node.Life + 1;
+  node = Node{};
+  node.Life = life;
+  ConfigInit part = Init.Part;
+  part.Stored = true;
+  part.Seed = Random();
+  node.Part = std::make_unique<ConfigPart>(part);
+  // Each VM interns its own zone first, so that handles differ between VMs.
+  auto zoneName = [&](uint32_t it) {
+    return "z" + std::to_string(it % Init.Zones);
+  };
+  node.Zone = node.Index.zone(zoneName(vm));
+  for (uint32_t it = 0; it < Init.Vms; ++it) {
+    VmEntry entry;
+    entry.Name = "vm" + std::to_string(it);
+    entry.Zone = node.Index.zone(zoneName(it));
+    node.Members.push_back(entry);
+  }
+  node.MembersDue = Now;
+  std::erase_if(Heard, [&](const auto &it) { return it.first.second == vm; });
+  updateMembers(vm);
+}
+
+ConfigContext ConfigFleet::context(Node &node) {
+  auto self = static_cast<uint32_t>(&node - Nodes.data());
+  return {Now, Effects, {node.Members, {self}}, node.Zone, node.Index};
+}
+
+void ConfigFleet::run(Duration time) {
+  Instant end = Now + time;
+  while (true) {
+    Instant next = Queue.empty() ? NeverInstant : Queue.top().At;
+    uint32_t due = vms();
+    for (uint32_t vm = 0; vm < vms(); ++vm) {
+      Node &node = Nodes[vm];
+      if (node.Paused)
+        continue;
+      Instant wake = std::min(node.Part->nextDue(), node.MembersDue);
+      if (wake < next) {
+        next = wake;
+        due = vm;
+      }
+    }
+    if (next > end)
+      break;
+    Now = std::max(Now, next);
+    if (due < vms()) {
+      tick(due);
+      continue;
+    }
+    Delivery delivery = Queue.top();
+    Queue.pop();
+    deliver(delivery);
+  }
+  Now = end;
+}
+
+void ConfigFleet::tick(uint32_t vm) {
+  Node &node = Nodes[vm];
+  if (node.MembersDue <= Now) {
+    node.MembersDue = Now + MemberPeriod;
+    updateMembers(vm);
+  }
+  Effects.clear();
+  node.Part->onTick(context(node));
+  flush(vm);
+}
+
+void ConfigFleet::deliver(const Delivery &delivery) {
+  Node &node = Nodes[delivery.Vm];
+  if (node.Life != delivery.Life)
+    return;
+  if (node.Paused) {
+    Delivery late = delivery;
+    late.At = Now + std::chrono::milliseconds(100);
+    Queue.push(late);
+    return;
+  }
+  Effects.clear();
+  if (delivery.FromStore) {
+    StoreReplied reply = delivery.Reply;
+    reply.Value = delivery.Value.get();
+    node.Part->onReply(reply, context(node));
+  } else {
+    std::visit(
+        [&](const auto &body) {
+          using Body = std::remove_cvref_t<decltype(body)>;
+          if constexpr (ConfigMessage<Body>)
+            node.Part->onPeer({delivery.From}, body, context(node));
+        },
+        delivery.Body);
+  }
+  flush(delivery.Vm);
+}
+
+void ConfigFleet::flush(uint32_t vm) {
+  Node &node = Nodes[vm];
+  for (const CatalogPatch &patch : node.Part->takeAdopted())
+    node.Index.apply(patch, node.Part->keeper().version());
+  std::vector<Effect> effects(Effects.items().begin(), Effects.items().end());
+  for (const Effect &effect : effects)
+    execute(vm, effect);
+  check(vm);
+}
+
+void ConfigFleet::execute(uint32_t vm, const Effect &effect) {
+  std::visit([&](const auto &it) { on(vm, it); }, effect);
+}
+
+void ConfigFleet::on(uint32_t vm, const SendPeer &effect) {
+  ++Messages;
+  bool lost = Random() % 100 < Init.LossPercent;
+  uint32_t to = effect.To.Value;
+  if (lost || Cuts.contains({vm, to}))
+    return;
+  bool near = vm % Init.Zones == to % Init.Zones;
+  Duration delay = near ? Init.InZone : Init.CrossZone;
+  delay += delay * static_cast<int64_t>(Random() % 50) / 100;
+  Delivery delivery;
+  delivery.At = Now + delay;
+  delivery.Order = ++LastOrder;
+  delivery.Vm = to;
+  delivery.Life = Nodes[to].Life;
+  delivery.From = vm;
+  delivery.Body = effect.Body;
+  Queue.push(std::move(delivery));
+}
+
+bool ConfigFleet::storeReached(uint32_t vm) const {
+  return !Store.Faults.Away && !Nodes[vm].StoreCut;
+}
+
+void ConfigFleet::reply(uint32_t vm, const StoreReplied &reply,
+                        Duration delay) {
+  Delivery delivery;
+  delivery.At = Now + delay;
+  delivery.Order = ++LastOrder;
+  delivery.Vm = vm;
+  delivery.Life = Nodes[vm].Life;
+  delivery.FromStore = true;
+  delivery.Reply = reply;
+  if (reply.Value)
+    delivery.Value = std::make_shared<StoreValue>(*reply.Value);
+  Queue.push(std::move(delivery));
+}
+
+void ConfigFleet::on(uint32_t vm, const StoreRead &effect) {
+  ++Store.Calls;
+  if (storeReached(vm))
+    reply(vm, Store.read(effect), Store.Faults.Delay);
+}
+
+void ConfigFleet::on(uint32_t vm, const StoreWrite &effect) {
+  ++Store.Calls;
+  if (!storeReached(vm))
+    return;
+  StoreReplied result = Store.write(effect);
+  bool wrote = result.Outcome == StoreOutcome::Ok;
+  if (wrote)
+    fireWatches();
+  if (!(wrote && Store.Faults.LosesReplies))
+    reply(vm, result, Store.Faults.Delay);
+}
+
+void ConfigFleet::on(uint32_t vm, const StoreWatch &effect) {
+  ++Store.Calls;
+  if (!storeReached(vm))
+    return;
+  Watches.push_back(
+      {vm, Nodes[vm].Life, effect.Ticket, effect.After, Now + effect.Wait});
+  fireWatches();
+}
+
+void ConfigFleet::fireWatches() {
+  FakeStore::Entry head = Store.head();
+  std::erase_if(Watches, [&](const Watch &it) {
+    if (it.Until <= Now || Nodes[it.Vm].Life != it.Life)
+      return true;
+    if (head.Revision <= it.After)
+      return false;
+    if (storeReached(it.Vm))
+      reply(it.Vm,
+            {it.Ticket, StoreOutcome::Ok, head.Revision, head.Value.get()},
+            Store.Faults.Delay);
+    return true;
+  });
+}
+
+void ConfigFleet::on(uint32_t, const ChangeConcluded &effect) {
+  const std::string &id = idOf(effect.Outcome);
+  ChangeTrace &trace = Changes[id];
+  trace.Outcome = effect.Outcome;
+  trace.Concluded = Now;
+  const auto *it = std::get_if<ChangeAccepted>(&effect.Outcome);
+  if (it && it->Spread)
+    AcceptedAt.try_emplace(it->Version, Now);
+}
+
+void ConfigFleet::propose(uint32_t vm, const Change &change) {
+  Changes[change.Id].Proposed = Now;
+  Effects.clear();
+  Nodes[vm].Part->onProposed(change, context(Nodes[vm]));
+  flush(vm);
+}
+
+void ConfigFleet::updateMembers(uint32_t vm) {
+  Node &node = Nodes[vm];
+  for (uint32_t it = 0; it < vms(); ++it) {
+    bool hears = it == vm || (!Cuts.contains({it, vm}) && !Nodes[it].Paused);
+    if (hears)
+      Heard[{it, vm}] = Now;
+    auto heard = Heard.find({it, vm});
+    VmState &state = node.Members[it].State;
+    if (heard == Heard.end())
+      state = VmState::Unknown;
+    else
+      state = Now - heard->second < SuspectAfter ? VmState::Alive
+                                                 : VmState::Suspect;
+  }
+}
+
+void ConfigFleet::check(uint32_t vm) {
+  Node &node = Nodes[vm];
+  auto violation = [&](const std::string &text) {
+    if (Violations.size() < 5)
+      Violations.push_back("vm" + std::to_string(vm) + ": " + text);
+  };
+  uint64_t version = node.Part->keeper().version();
+  if (version < node.SeenVersion)
+    violation("went back from version " + std::to_string(node.SeenVersion));
+  node.SeenVersion = version;
+  if (!admits(vm))
+    return;
+  for (const auto &[accepted, at] : AcceptedAt)
+    if (accepted > version && Now - at >= WithdrawalBound)
+      violation("admits with version " + std::to_string(version) + " " +
+                std::to_string((Now - at).count() / 1000) +
+                "ms after version " + std::to_string(accepted));
+}
+
+void ConfigFleet::cut(uint32_t from, uint32_t to, bool down) {
+  if (down)
+    Cuts.insert({from, to});
+  else
+    Cuts.erase({from, to});
+}
+
+void ConfigFleet::split(const std::set<uint32_t> &group, bool down) {
+  for (uint32_t from = 0; from < vms(); ++from)
+    for (uint32_t to = 0; to < vms(); ++to)
+      if (group.contains(from) != group.contains(to))
+        cut(from, to, down);
+}
+
+void ConfigFleet::cutStore(uint32_t vm, bool down) {
+  Nodes[vm].StoreCut = down;
+}
+
+void ConfigFleet::pause(uint32_t vm, bool paused) {
+  Nodes[vm].Paused = paused;
+  // The first event after a pause meets the old state at the new time.
+  if (!paused)
+    check(vm);
+}
+
+void ConfigFleet::restart(uint32_t vm) { start(vm); }
+
+void ConfigFleet::heal() {
+  Cuts.clear();
+  Store.Faults = {};
+  for (uint32_t vm = 0; vm < vms(); ++vm) {
+    Nodes[vm].StoreCut = false;
+    Nodes[vm].Paused = false;
+  }
+}
+
+FreshState ConfigFleet::fresh(uint32_t vm) const {
+  return Nodes[vm].Part->fresh(Now);
+}
+
+bool ConfigFleet::admits(uint32_t vm) const {
+  return version(vm) > 0 && guavasail::admits(fresh(vm));
+}
+
+uint64_t ConfigFleet::version(uint32_t vm) const {
+  if (!Nodes[vm].Part)
+    return 0;
+  return Nodes[vm].Part->keeper().version();
+}
+
+bool ConfigFleet::holdsKey(uint32_t vm, const Digest &key) const {
+  return Nodes[vm].Index.workspace(key).valid();
+}
+
+NotReadyReason ConfigFleet::notReady(uint32_t vm) const {
+  return Nodes[vm].Part->notReady();
+}
+
+uint32_t ConfigFleet::watchers() const {
+  return static_cast<uint32_t>(
+      std::count_if(Nodes.begin(), Nodes.end(),
+                    [](const Node &it) { return it.Part->watching(); }));
+}
+
+std::vector<std::string> ConfigFleet::auditTrail() const {
+  std::vector<std::string> ids;
+  FakeStore::Entry entry = Store.head();
+  if (!entry.Value)
+    return ids;
+  const ConfigHead &head = std::get<ConfigHead>(*entry.Value);
+  std::string id = head.Recent.empty() ? "" : head.Recent.back().Id;
+  for (uint64_t version = head.Version; !id.empty(); --version) {
+    const AuditRecord *record = Store.audit(version, id);
+    if (!record)
+      return {};
+    ids.push_back(id);
+    id = record->PreviousId;
+  }
+  std::reverse(ids.begin(), ids.end());
+  return ids;
+}
+
+Change changeOf(std::string id, Command command) {
+  Change change;
+  change.Id = std::move(id);
+  change.Author = "ops";
+  change.Commands.push_back(std::move(command));
+  return change;
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/tests/config_fleet.h
@@ -0,0 +1,196 @@
+/// \file
+/// A few configuration parts joined by a lossy queue, and a store in memory,
+/// in virtual time.
+#ifndef GUAVASAIL_TESTS_CONFIG_FLEET_H
+#define GUAVASAIL_TESTS_CONFIG_FLEET_H
+
+#include "config_part.h"
+
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace guavasail {
+
+/// What the store does wrong.
+struct StoreFaults {
+  bool Away = false;
+  /// Delay of each reply.
+  Duration Delay = std::chrono::milliseconds(2);
+  /// Writes take effect and are not answered.
+  bool LosesReplies = false;
+  /// Reads answer from the past.
+  bool AnswersFromPast = false;
+};
+
+/// The store: compare-and-swap, reads, watches.
+class FakeStore {
+public:
+  struct Entry {
+    uint64_t Revision = 0;
+    std::shared_ptr<StoreValue> Value;
+  };
+
+  StoreReplied read(const StoreRead &request);
+  StoreReplied write(const StoreWrite &request);
+
+  /// \returns the newest entry of the head, empty if there is none.
+  Entry head() const;
+  /// \returns an audit record, null if there is none.
+  const AuditRecord *audit(uint64_t version, const std::string &id) const;
+
+  StoreFaults Faults;
+  uint64_t Calls = 0;
+
+private:
+  static std::string nameOf(const StoreKey &key);
+
+  uint64_t Revisions = 0;
+  std::map<std::string, std::vector<Entry>> Entries;
+};
+
+/// Describes a fleet.
+struct FleetInit {
+  uint32_t Vms = 6;
+  uint32_t Zones = 3;
+  uint64_t Seed = 1;
+  /// Times of the parts.
+  ConfigInit Part;
+  /// Lost messages between daemons, in percent.
+  uint32_t LossPercent = 0;
+  Duration InZone = std::chrono::microseconds(300);
+  Duration CrossZone = std::chrono::milliseconds(4);
+};
+
+/// What happened to a change.
+struct ChangeTrace {
+  ChangeOutcome Outcome;
+  Instant Proposed;
+  Instant Concluded;
+};
+
+/// Runs the fleet and checks its invariants after every event.
+class ConfigFleet {
+public:
+  explicit ConfigFleet(const FleetInit &init);
+
+  /// Lets virtual time pass.
+  void run(Duration time);
+
+  /// Proposes a change on a VM.
+  void propose(uint32_t vm, const Change &change);
+
+  /// Cuts or mends the link from one VM to another.
+  void cut(uint32_t from, uint32_t to, bool down);
+  /// Cuts or mends all links between two groups, both ways.
+  void split(const std::set<uint32_t> &group, bool down);
+  /// Cuts or mends a VM's path to the store.
+  void cutStore(uint32_t vm, bool down);
+  /// Stops events of a VM; they come late.
+  void pause(uint32_t vm, bool paused);
+  /// Replaces a VM by an empty one.
+  void restart(uint32_t vm);
+  /// Removes all faults.
+  void heal();
+
+  [[nodiscard]] bool admits(uint32_t vm) const;
+  [[nodiscard]] FreshState fresh(uint32_t vm) const;
+  [[nodiscard]] uint64_t version(uint32_t vm) const;
+  [[nodiscard]] bool holdsKey(uint32_t vm, const Digest &key) const;
+  [[nodiscard]] NotReadyReason notReady(uint32_t vm) const;
+  [[nodiscard]] uint32_t vms() const {
+    return static_cast<uint32_t>(Nodes.size());
+  }
+  [[nodiscard]] uint32_t watchers() const;
+  [[nodiscard]] Instant now() const { return Now; }
+  [[nodiscard]] const std::map<std::string, ChangeTrace> &changes() const {
+    return Changes;
+  }
+  /// Broken invariants, each described once.
+  [[nodiscard]] const std::vector<std::string> &violations() const {
+    return Violations;
+  }
+  /// \returns ids along the audit trail, oldest first.
+  [[nodiscard]] std::vector<std::string> auditTrail() const;
+
+  FakeStore Store;
+  uint64_t Messages = 0;
+
+private:
+  struct Node {
+    std::unique_ptr<ConfigPart> Part;
+    CatalogIndex Index;
+    ZoneHandle Zone;
+    std::vector<VmEntry> Members;
+    uint32_t Life = 0;
+    uint64_t SeenVersion = 0;
+    bool Paused = false;
+    bool StoreCut = false;
+    Instant MembersDue;
+  };
+  struct Delivery {
+    Instant At;
+    uint64_t Order = 0;
+    uint32_t Vm = 0;
+    uint32_t Life = 0;
+    uint32_t From = 0;
+    bool FromStore = false;
+    PeerBody Body;
+    StoreReplied Reply;
+    std::shared_ptr<StoreValue> Value;
+
+    friend bool operator<(const Delivery &left, const Delivery &right) {
+      return std::tie(right.At, right.Order) < std::tie(left.At, left.Order);
+    }
+  };
+  struct Watch {
+    uint32_t Vm;
+    uint32_t Life;
+    StoreTicket Ticket;
+    uint64_t After;
+    Instant Until;
+  };
+
+  void start(uint32_t vm);
+  ConfigContext context(Node &node);
+  void deliver(const Delivery &delivery);
+  void tick(uint32_t vm);
+  void flush(uint32_t vm);
+  void execute(uint32_t vm, const Effect &effect);
+  void on(uint32_t vm, const SendPeer &effect);
+  void on(uint32_t vm, const StoreRead &effect);
+  void on(uint32_t vm, const StoreWrite &effect);
+  void on(uint32_t vm, const StoreWatch &effect);
+  void on(uint32_t vm, const ChangeConcluded &effect);
+  template <typename Other> void on(uint32_t, const Other &) {}
+  void reply(uint32_t vm, const StoreReplied &reply, Duration delay);
+  void fireWatches();
+  void updateMembers(uint32_t vm);
+  void check(uint32_t vm);
+  [[nodiscard]] bool storeReached(uint32_t vm) const;
+
+  FleetInit Init;
+  std::mt19937_64 Random;
+  Instant Now{std::chrono::seconds(1000)};
+  std::vector<Node> Nodes;
+  std::set<std::pair<uint32_t, uint32_t>> Cuts;
+  std::map<std::pair<uint32_t, uint32_t>, Instant> Heard;
+  std::priority_queue<Delivery> Queue;
+  std::vector<Watch> Watches;
+  uint64_t LastOrder = 0;
+  EffectBuffer Effects;
+  std::map<std::string, ChangeTrace> Changes;
+  std::map<uint64_t, Instant> AcceptedAt;
+  std::vector<std::string> Violations;
+};
+
+/// \returns a change with one command.
+Change changeOf(std::string id, Command command);
+
+} // namespace guavasail
+
+#endif
--- /dev/null
+++ b/tests/config_fleet_test.cpp
@@ -0,0 +1,373 @@
+/// \file
+/// Faults of the fleet, the links and the store, each as a named scenario, and
+/// random mixes of them.
+#include "config_fleet.h"
+
+#include "session.h"
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace guavasail {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+WorkspaceSpec workspace(const std::string &name) {
+  WorkspaceSpec spec;
+  spec.Name = name;
+  spec.Keys.push_back({"k1", sampleDigest(name)});
+  return spec;
+}
+
+bool accepted(const ConfigFleet &fleet, const std::string &id) {
+  const ChangeOutcome &outcome = fleet.changes().at(id).Outcome;
+  return std::get_if<ChangeAccepted>(&outcome) != nullptr &&
+         fleet.changes().at(id).Concluded != Instant{};
+}
+
+/// Starts a fleet and gives it two workspaces.
+void prepare(ConfigFleet &fleet) {
+  fleet.run(seconds(5));
+  fleet.propose(0, changeOf("w-school", CreateWorkspace{workspace("school")}));
+  fleet.run(seconds(2));
+  fleet.propose(1, changeOf("w-port", CreateWorkspace{workspace("port")}));
+  fleet.run(seconds(3));
+  ASSERT_TRUE(accepted(fleet, "w-school"));
+  ASSERT_TRUE(accepted(fleet, "w-port"));
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    ASSERT_TRUE(fleet.admits(vm)) << vm;
+}
+
+void withdraw(ConfigFleet &fleet, uint32_t vm) {
+  fleet.propose(vm, changeOf("withdraw", WithdrawKey{"school", "k1"}));
+}
+
+/// Fails unless every VM is in \p state at version \p version.
+void expectAll(const ConfigFleet &fleet, FreshState state, uint64_t version) {
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm) {
+    EXPECT_EQ(freshStateName(fleet.fresh(vm)), freshStateName(state)) << vm;
+    EXPECT_EQ(fleet.version(vm), version) << vm;
+  }
+}
+
+void healthyWithdrawal(ConfigFleet &fleet) {
+  withdraw(fleet, 2);
+  fleet.run(milliseconds(500));
+  EXPECT_TRUE(accepted(fleet, "withdraw"));
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    EXPECT_FALSE(fleet.holdsKey(vm, sampleDigest("school"))) << vm;
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void cutOffAlone(ConfigFleet &fleet) {
+  fleet.split({5}, true);
+  fleet.cutStore(5, true);
+  withdraw(fleet, 0);
+  fleet.run(seconds(5));
+  EXPECT_TRUE(accepted(fleet, "withdraw"));
+  EXPECT_FALSE(fleet.admits(5));
+  fleet.heal();
+  fleet.run(seconds(3));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void cutOffWithMinority(ConfigFleet &fleet) {
+  std::set<uint32_t> minority = {2, 5};
+  fleet.split(minority, true);
+  for (uint32_t vm : minority)
+    fleet.cutStore(vm, true);
+  withdraw(fleet, 0);
+  fleet.run(seconds(5));
+  EXPECT_FALSE(fleet.admits(2));
+  EXPECT_FALSE(fleet.admits(5));
+  EXPECT_TRUE(fleet.admits(0));
+  fleet.heal();
+  fleet.run(seconds(3));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void storeAwayForAll(ConfigFleet &fleet) {
+  fleet.Store.Faults.Away = true;
+  Instant end = fleet.now() + hours(2);
+  while (fleet.now() < end) {
+    fleet.run(milliseconds(250));
+    for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+      ASSERT_TRUE(fleet.admits(vm))
+          << vm << " at " << (end - fleet.now()).count();
+  }
+  withdraw(fleet, 0);
+  fleet.run(seconds(11));
+  EXPECT_TRUE(std::holds_alternative<ChangeRejected>(
+      fleet.changes().at("withdraw").Outcome));
+  fleet.heal();
+  fleet.run(seconds(5));
+  expectAll(fleet, FreshState::Confirmed, 3);
+}
+
+void storeAwayThenBackForOthers(ConfigFleet &fleet) {
+  fleet.Store.Faults.Away = true;
+  fleet.run(seconds(60));
+  for (uint32_t vm = 3; vm < fleet.vms(); ++vm)
+    fleet.cutStore(vm, true);
+  fleet.Store.Faults.Away = false;
+  fleet.run(seconds(3));
+  withdraw(fleet, 0);
+  fleet.run(seconds(4));
+  EXPECT_TRUE(accepted(fleet, "withdraw"));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void pausedVmWakesUp(ConfigFleet &fleet) {
+  fleet.pause(4, true);
+  withdraw(fleet, 0);
+  fleet.run(seconds(30));
+  fleet.pause(4, false);
+  EXPECT_FALSE(fleet.admits(4));
+  fleet.run(seconds(2));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void oneWayPartition(ConfigFleet &fleet) {
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    if (vm != 4)
+      fleet.cut(vm, 4, true);
+  fleet.cutStore(4, true);
+  withdraw(fleet, 0);
+  fleet.run(seconds(5));
+  EXPECT_FALSE(fleet.admits(4));
+  fleet.heal();
+  fleet.run(seconds(3));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void silentOneWayPartition(ConfigFleet &fleet) {
+  // The VM hears all and is heard by none: no question of it is answered.
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    if (vm != 4)
+      fleet.cut(4, vm, true);
+  fleet.cutStore(4, true);
+  fleet.run(seconds(6));
+  EXPECT_FALSE(fleet.admits(4));
+}
+
+void storeAwayAndCutOff(ConfigFleet &fleet) {
+  fleet.Store.Faults.Away = true;
+  fleet.run(seconds(30));
+  fleet.split({1}, true);
+  fleet.run(seconds(5));
+  EXPECT_FALSE(fleet.admits(1));
+  EXPECT_TRUE(fleet.admits(0));
+}
+
+void replyLostAfterWrite(ConfigFleet &fleet) {
+  fleet.Store.Faults.LosesReplies = true;
+  withdraw(fleet, 2);
+  fleet.run(seconds(9));
+  fleet.Store.Faults.LosesReplies = false;
+  fleet.run(seconds(2));
+  EXPECT_TRUE(accepted(fleet, "withdraw"));
+  expectAll(fleet, FreshState::Confirmed, 4);
+  withdraw(fleet, 0);
+  fleet.run(seconds(2));
+  EXPECT_TRUE(accepted(fleet, "withdraw"));
+  EXPECT_EQ(fleet.version(0), 4u);
+}
+
+void outcomeUnknownThenAskedAgain(ConfigFleet &fleet) {
+  fleet.Store.Faults.LosesReplies = true;
+  withdraw(fleet, 2);
+  fleet.run(seconds(5));
+  fleet.Store.Faults.Away = true;
+  fleet.run(seconds(7));
+  fleet.heal();
+  fleet.run(seconds(3));
+  withdraw(fleet, 3);
+  fleet.run(seconds(2));
+  EXPECT_TRUE(accepted(fleet, "withdraw"));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void operatorsRace(ConfigFleet &fleet) {
+  fleet.propose(0, changeOf("rate-a", SetRate{"school", 1, 10, 5}));
+  fleet.propose(4, changeOf("rate-b", SetRate{"school", 1, 20, 5}));
+  fleet.run(seconds(3));
+  bool first = accepted(fleet, "rate-a");
+  EXPECT_NE(first, accepted(fleet, "rate-b"));
+  const ChangeOutcome &lost =
+      fleet.changes().at(first ? "rate-b" : "rate-a").Outcome;
+  const auto *conflict = std::get_if<ChangeConflict>(&lost);
+  ASSERT_TRUE(conflict);
+  EXPECT_EQ(conflict->OtherId, first ? "rate-a" : "rate-b");
+  EXPECT_EQ(conflict->OtherAuthor, "ops");
+}
+
+void operatorsRaceOnOtherItems(ConfigFleet &fleet) {
+  fleet.propose(0, changeOf("rate-a", SetRate{"school", 1, 10, 5}));
+  fleet.propose(4, changeOf("rate-b", SetRate{"port", 1, 20, 5}));
+  fleet.run(seconds(3));
+  EXPECT_TRUE(accepted(fleet, "rate-a"));
+  EXPECT_TRUE(accepted(fleet, "rate-b"));
+  expectAll(fleet, FreshState::Confirmed, 5);
+}
+
+void operatorSawOldVersion(ConfigFleet &fleet) {
+  Change change = changeOf("rate-a", SetRate{"school", 1, 10, 5});
+  change.IfVersion = 2;
+  fleet.propose(0, change);
+  fleet.run(seconds(2));
+  const auto *conflict =
+      std::get_if<ChangeConflict>(&fleet.changes().at("rate-a").Outcome);
+  ASSERT_TRUE(conflict);
+  EXPECT_EQ(conflict->OtherId, "w-port");
+}
+
+void storeAnswersFromPast(ConfigFleet &fleet) {
+  fleet.Store.Faults.AnswersFromPast = true;
+  fleet.restart(0);
+  fleet.restart(3);
+  fleet.run(seconds(8));
+  expectAll(fleet, FreshState::Confirmed, 3);
+}
+
+void allRestart(ConfigFleet &fleet) {
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    fleet.restart(vm);
+  fleet.run(seconds(3));
+  expectAll(fleet, FreshState::Confirmed, 3);
+}
+
+void startsWhileStoreIsAway(ConfigFleet &fleet) {
+  fleet.Store.Faults.Away = true;
+  fleet.run(seconds(20));
+  fleet.restart(2);
+  EXPECT_EQ(fleet.notReady(2), NotReadyReason::NoSource);
+  fleet.run(seconds(3));
+  EXPECT_EQ(fleet.notReady(2), NotReadyReason::None);
+  expectAll(fleet, FreshState::StoreAway, 3);
+}
+
+void thirdReplacedWhileStoreIsAway(ConfigFleet &fleet) {
+  withdraw(fleet, 0);
+  fleet.run(seconds(1));
+  fleet.Store.Faults.Away = true;
+  fleet.run(seconds(20));
+  fleet.restart(1);
+  fleet.restart(4);
+  fleet.run(seconds(3));
+  expectAll(fleet, FreshState::StoreAway, 4);
+}
+
+void startsFromStalePeer(ConfigFleet &fleet) {
+  fleet.split({5}, true);
+  fleet.cutStore(5, true);
+  withdraw(fleet, 0);
+  fleet.run(seconds(6));
+  fleet.Store.Faults.Away = true;
+  // VM 4 starts and hears only the one that has the old version.
+  for (uint32_t vm = 0; vm < 4; ++vm) {
+    fleet.cut(4, vm, true);
+    fleet.cut(vm, 4, true);
+  }
+  fleet.cut(4, 5, false);
+  fleet.cut(5, 4, false);
+  fleet.restart(4);
+  fleet.run(seconds(10));
+  EXPECT_EQ(fleet.version(4), 3u);
+  EXPECT_FALSE(fleet.admits(4));
+  fleet.heal();
+  fleet.run(seconds(4));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void watchersOfZoneCutFromStore(ConfigFleet &fleet) {
+  fleet.cutStore(0, true);
+  fleet.cutStore(3, true);
+  withdraw(fleet, 1);
+  fleet.run(seconds(3));
+  expectAll(fleet, FreshState::Confirmed, 4);
+}
+
+void writerCutOffRefuses(ConfigFleet &fleet) {
+  fleet.split({0}, true);
+  fleet.run(seconds(4));
+  withdraw(fleet, 0);
+  fleet.run(seconds(1));
+  const auto *rejected =
+      std::get_if<ChangeRejected>(&fleet.changes().at("withdraw").Outcome);
+  ASSERT_TRUE(rejected);
+  EXPECT_EQ(rejected->Failure.Fault, ChangeFault::WriterIsolated);
+}
+
+void writerLosesMajorityUnseen(ConfigFleet &fleet) {
+  // The minority keeps the store, and its writer has not yet noticed the cut.
+  std::set<uint32_t> minority = {2, 4};
+  fleet.split(minority, true);
+  for (uint32_t vm : {0, 1, 3, 5})
+    fleet.cutStore(vm, true);
+  withdraw(fleet, 2);
+  fleet.run(seconds(8));
+  const auto *it =
+      std::get_if<ChangeAccepted>(&fleet.changes().at("withdraw").Outcome);
+  ASSERT_TRUE(it);
+  EXPECT_FALSE(it->Spread);
+}
+
+void slowStore(ConfigFleet &fleet) {
+  fleet.Store.Faults.Delay = milliseconds(1500);
+  fleet.run(seconds(20));
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    EXPECT_TRUE(fleet.admits(vm)) << vm;
+}
+
+struct Scenario {
+  std::string_view Name;
+  void (*Run)(ConfigFleet &fleet);
+};
+
+constexpr Scenario Scenarios[] = {
+    {"HealthyWithdrawal", &healthyWithdrawal},
+    {"CutOffAlone", &cutOffAlone},
+    {"CutOffWithMinority", &cutOffWithMinority},
+    {"StoreAwayForAll", &storeAwayForAll},
+    {"StoreAwayThenBackForOthers", &storeAwayThenBackForOthers},
+    {"PausedVmWakesUp", &pausedVmWakesUp},
+    {"OneWayPartition", &oneWayPartition},
+    {"SilentOneWayPartition", &silentOneWayPartition},
+    {"StoreAwayAndCutOff", &storeAwayAndCutOff},
+    {"ReplyLostAfterWrite", &replyLostAfterWrite},
+    {"OutcomeUnknownThenAskedAgain", &outcomeUnknownThenAskedAgain},
+    {"OperatorsRace", &operatorsRace},
+    {"OperatorsRaceOnOtherItems", &operatorsRaceOnOtherItems},
+    {"OperatorSawOldVersion", &operatorSawOldVersion},
+    {"StoreAnswersFromPast", &storeAnswersFromPast},
+    {"AllRestart", &allRestart},
+    {"StartsWhileStoreIsAway", &startsWhileStoreIsAway},
+    {"ThirdReplacedWhileStoreIsAway", &thirdReplacedWhileStoreIsAway},
+    {"StartsFromStalePeer", &startsFromStalePeer},
+    {"WatchersOfZoneCutFromStore", &watchersOfZoneCutFromStore},
+    {"WriterCutOffRefuses", &writerCutOffRefuses},
+    {"WriterLosesMajorityUnseen", &writerLosesMajorityUnseen},
+    {"SlowStore", &slowStore},
+};
+
+class ConfigScenario : public testing::TestWithParam<Scenario> {};
+
+TEST_P(ConfigScenario, KeepsInvariants) {
+  ConfigFleet fleet(FleetInit{});
+  prepare(fleet);
+  GetParam().Run(fleet);
+  for (const std::string &it : fleet.violations())
+    ADD_FAILURE() << it;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ConfigScenario, testing::ValuesIn(Scenarios),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+} // namespace
+
+} // namespace guavasail
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -66,6 +66,17 @@
     return "call share " + std::to_string(it.Call.Share.Partition) + "." +
            std::to_string(it.Call.Share.Share);
   }
+  std::string operator()(const StoreRead &) const { return "store read"; }
+  std::string operator()(const StoreWrite &) const { return "store write"; }
+  std::string operator()(const StoreWatch &) const { return "store watch"; }
+  std::string operator()(const ChangeConcluded &it) const {
+    static constexpr auto Names = std::to_array<std::string_view>(
+        {"accepted", "conflict", "rejected", "outcome unknown"});
+    return "change " + std::string(Names[it.Outcome.index()]);
+  }
+  std::string operator()(const AuditAnswered &it) const {
+    return "audit " + std::to_string(it.Records.size());
+  }
   std::string operator()(const DrainCompleted &) const {
     return "drain completed";
   }
