Split rates evenly over the listed VMs until shares are leased through the store

Cause: each daemon limited a workspace alone, so n VMs admitted n times the rate. Change: a daemon takes one of as many parts of each rate as the settings list VMs. Conclusion: the sum over all VMs stays within the rate; small rates are refused more than needed until the leased shares are reached through the store.

--- a/bench/bench_reducer.cpp
+++ b/bench/bench_reducer.cpp
@@ -139,7 +139,7 @@
     answered.Status = 200;
     answered.Load.Present = true;
     reduce(answered);
-    reduce(AttemptCompleted{slot.Attempt.Attempt, 64});
+    reduce(AttemptCompleted{slot.Attempt.Attempt, 64, {}});
     reduce(LaneFreed{slot.Attempt.Instance, slot.Attempt.Connection});
   }
 
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -69,6 +69,9 @@
   init.Name = settings.Daemon.Name;
   init.Zone = settings.Daemon.Zone;
   init.Seed = randomSeed();
+  // Each listed VM has a fixed part of each rate, whether it runs or not.
+  init.Rates.FleetSlots =
+      std::max<uint32_t>(1, static_cast<uint32_t>(settings.Vms.size()));
   init.Stored = settings.Store.Port > 0;
   if (const VmSpec *self = findSelf(settings)) {
     init.Self = *self;
