Query test: the request in progress belongs to a workspace without a rate

Cause: the test's request belonged to a workspace with a rate; a VM that has just started holds no tokens of a rate, so the request was refused and nothing was in progress. Change: the request uses the key of the workspace without a rate; the expected rows are the same.

--- a/tests/query_answer_test.cpp
+++ b/tests/query_answer_test.cpp
@@ -24,7 +24,7 @@
     RequestArrived request;
     request.Request = {0, 1};
     request.Path = "/wind/x";
-    request.Key = sampleDigest("school");
+    request.Key = sampleDigest("harbour");
     reduce({Start, request});
   }
 
