--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -74,7 +74,7 @@
       Config(configInit(init)), Health(init.Detector),
       Picker(init.Balance, init.Seed), Records(RecordLimits{}),
       Suspects(QuarantineLimits{}), Tokens(init.Seed),
-      Rates(init.Rates), Self{vmId(init.Name), init.Incarnation},
+      Self{vmId(init.Name), init.Incarnation}, Rates(init.Rates),
       Zone(Catalog.zone(init.Zone)) {
   Records.setSelf(Self);
 }
