Health endpoint: not ready without a configuration, with the reason

Cause: a daemon whose configuration comes from the store said ready at once, although it refused each request. Change: the health endpoints follow the reducer: starting with the reason, ready, unconfirmed while the configuration cannot be confirmed, draining.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -166,7 +166,6 @@
   }
   assignRecords();
   drainEvents();
-  Front->setServing(ServingState::Ready);
   return StartFault::None;
 }
 
@@ -217,6 +216,7 @@
       execute(effect);
   }
   Exchanges.recycle();
+  updateServing();
   if (Store)
     Store->recycle();
   if (Drained && Exchanges.openCount() == 0 && !Front->ending())
@@ -226,6 +226,20 @@
   armTimer();
 }
 
+void Daemon::updateServing() {
+  if (!Front)
+    return;
+  const ReducerState &state = Decisions.state();
+  if (state.Draining)
+    return Front->setServing(ServingState::Draining);
+  if (!state.Ready)
+    return Front->setServing(ServingState::Starting,
+                             notReadyReasonName(state.Config.notReady()));
+  bool confirmed = admits(state.Config.fresh(bootTime()));
+  Front->setServing(confirmed ? ServingState::Ready
+                              : ServingState::Unconfirmed);
+}
+
 void Daemon::armTimer() {
   Instant due = Decisions.nextWake();
   if (due == Armed)
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -49,6 +49,7 @@
   void assignRecords();
   void drainEvents();
   void execute(const Effect &effect);
+  void updateServing();
   void armTimer();
   void stopLoop();
   StartFault startPeers();
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -29,23 +29,26 @@
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 };
 
-/// A health endpoint: good in the states that are listed.
+/// A health endpoint, and the states in which it answers that all is well.
 struct HealthRow {
   std::string_view Path;
-  ServingState Good[3];
+  std::span<const ServingState> Good;
 };
 
+constexpr ServingState AllStates[] = {
+    ServingState::Starting, ServingState::Ready, ServingState::Unconfirmed,
+    ServingState::Draining};
+constexpr ServingState ReadyState[] = {ServingState::Ready};
+constexpr ServingState DrainingState[] = {ServingState::Draining};
+
 constexpr auto HealthRows = std::to_array<HealthRow>({
-    {"/-/alive",
-     {ServingState::Starting, ServingState::Ready, ServingState::Draining}},
-    {"/-/ready",
-     {ServingState::Ready, ServingState::Ready, ServingState::Ready}},
-    {"/-/draining",
-     {ServingState::Draining, ServingState::Draining, ServingState::Draining}},
+    {"/-/alive", AllStates},
+    {"/-/ready", ReadyState},
+    {"/-/draining", DrainingState},
 });
 
-constexpr auto StateNames =
-    std::to_array<std::string_view>({"starting", "ready", "draining"});
+constexpr auto StateNames = std::to_array<std::string_view>(
+    {"starting", "ready", "unconfirmed", "draining"});
 
 /// Marks a connection that only has to send what is left.
 void *const EndingMark =
@@ -244,11 +247,13 @@
   for (const HealthRow &row : HealthRows) {
     if (row.Path != path)
       continue;
-    bool good = std::find(std::begin(row.Good), std::end(row.Good), Serving) !=
-                std::end(row.Good);
+    bool good =
+        std::find(row.Good.begin(), row.Good.end(), Serving) != row.Good.end();
     status = good ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE;
   }
-  std::string_view text = StateNames[static_cast<size_t>(Serving)];
+  std::string text(StateNames[static_cast<size_t>(Serving)]);
+  if (!ServingReason.empty())
+    text.append(": ").append(ServingReason);
   HeadWriter head(wsi);
   bool sent = head.status(status) &&
               head.field("content-type:", "text/plain") &&
--- a/src/front_http.h
+++ b/src/front_http.h
@@ -16,7 +16,14 @@
 namespace guavasail {
 
 /// What the balancer in front of the VMs is told.
-enum class ServingState : uint8_t { Starting, Ready, Draining };
+enum class ServingState : uint8_t {
+  /// There is no configuration yet.
+  Starting,
+  Ready,
+  /// The configuration cannot be confirmed, so requests are refused.
+  Unconfirmed,
+  Draining,
+};
 
 /// Reads callers' requests and writes their answers.
 class FrontHttp : public AnswerListener {
@@ -29,7 +36,11 @@
   bool open();
 
   /// Sets what the health endpoints say.
-  void setServing(ServingState state) { Serving = state; }
+  /// \param reason why the VM is not ready, empty if it is.
+  void setServing(ServingState state, std::string_view reason = {}) {
+    Serving = state;
+    ServingReason = reason;
+  }
 
   /// \returns true while an answer's last bytes are on their way.
   [[nodiscard]] bool ending() const { return Ending > 0; }
@@ -86,6 +97,7 @@
   BackHttp &Back;
   EventSink &Sink;
   ServingState Serving = ServingState::Starting;
+  std::string_view ServingReason;
   uint32_t Connections = 0;
   /// Connections of a draining daemon that send their last bytes.
   uint32_t Ending = 0;
