Edge scenario: a daemon without a configuration is not ready and says why

Cause: the health endpoint said ready without a configuration. Change: a scenario with a store that refuses connections. Conclusion: it fails with the earlier endpoint, which answered 200, and passes now.

--- a/tests/edge_scenario_test.cpp
+++ b/tests/edge_scenario_test.cpp
@@ -231,6 +231,17 @@
   EXPECT_NE(log.find("\"event\":\"request-refused\""), std::string::npos);
 }
 
+void notReadyWithoutStore(EdgeDaemon &daemon) {
+  Wire health = daemon.dial();
+  health.send("GET /-/ready HTTP/1.1\r\nhost: h\r\n\r\n");
+  expectAnswer(health, "503");
+  EXPECT_NE(health.Received.find("starting: no-source"), std::string::npos);
+  Wire caller = daemon.dial();
+  caller.send(Get);
+  expectAnswer(caller, "503");
+  EXPECT_NE(caller.Received.find("not-ready"), std::string::npos);
+}
+
 struct ScenarioCase {
   std::string_view Name;
   void (*Run)(EdgeDaemon &daemon);
@@ -259,6 +270,9 @@
     {"NoContinueForRefusedBody", &noContinueForRefusedBody},
     {"PipelinedRequestsKeepOrder", &pipelinedRequestsKeepOrder},
     {"LargeBodyIsPassed", &largeBodyIsPassed},
+    {"NotReadyWithoutStore",
+     &notReadyWithoutStore,
+     {.Daemon = "[store]\naddress = \"127.0.0.1\"\nport = 1"}},
     {"JsonLogsNameTheRequest",
      &jsonLogsNameTheRequest,
      {.Daemon = "log_format = \"json\""}},
