Stand-in store: a session struct in place of a pointer slot

Cause: the linter took the size of a pointer for a mistake. Change: the HTTP library keeps a struct that names the current job.

--- a/tools/standin_store.cpp
+++ b/tools/standin_store.cpp
@@ -395,35 +395,43 @@
   return lws_http_transaction_completed(job->Wsi) ? -1 : 0;
 }
 
-void endJob(Job **slot) {
-  if (!*slot)
+/// What the HTTP library keeps for a connection.
+struct Session {
+  Job *Current;
+};
+
+void endJob(Session &session) {
+  if (!session.Current)
     return;
-  lws_sul_cancel(&(*slot)->Timer);
-  Jobs.erase(*slot);
-  delete *slot;
-  *slot = nullptr;
+  lws_sul_cancel(&session.Current->Timer);
+  Jobs.erase(session.Current);
+  delete session.Current;
+  session.Current = nullptr;
 }
 
 int callback(lws *wsi, lws_callback_reasons reason, void *user, void *in,
              size_t len) {
-  auto *slot = static_cast<Job **>(user);
+  auto *session = static_cast<Session *>(user);
+  if (!session)
+    return lws_callback_http_dummy(wsi, reason, user, in, len);
+  Job *job = session->Current;
   std::string_view text(static_cast<const char *>(in), in ? len : 0);
   switch (reason) {
   case LWS_CALLBACK_HTTP:
-    endJob(slot);
-    *slot = new Job;
-    (*slot)->Wsi = wsi;
-    Jobs.insert(*slot);
-    return begin(*slot, text);
+    endJob(*session);
+    job = new Job;
+    job->Wsi = wsi;
+    session->Current = job;
+    Jobs.insert(job);
+    return begin(job, text);
   case LWS_CALLBACK_HTTP_BODY:
-    return *slot ? receive(*slot, text) : -1;
+    return job ? receive(job, text) : -1;
   case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-    return *slot ? received(*slot) : -1;
+    return job ? received(job) : -1;
   case LWS_CALLBACK_HTTP_WRITEABLE:
-    return *slot ? send(*slot) : 0;
+    return job ? send(job) : 0;
   case LWS_CALLBACK_CLOSED_HTTP:
-    if (slot)
-      endJob(slot);
+    endJob(*session);
     return 0;
   default:
     return lws_callback_http_dummy(wsi, reason, user, in, len);
@@ -431,7 +439,7 @@
 }
 
 const lws_protocols Protocols[] = {
-    {"http", &callback, sizeof(Job *), 0, 0, nullptr, 0},
+    {"http", &callback, sizeof(Session), 0, 0, nullptr, 0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 };
 
