--- a/include/guavasail/member.h
+++ b/include/guavasail/member.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace guavasail {
 
@@ -23,6 +24,9 @@
   Removed
 };
 
+/// \returns the stable name of \p state, used in logs and answers.
+std::string_view vmStateName(VmState state);
+
 /// How the state of other VMs is found out.
 enum class MembershipKind : uint8_t {
   /// Every VM sends to every other one.
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -11,18 +11,9 @@
 
 readonly Base=${BENCH_PORT:-20400}
 readonly Key="bench-key"
-work=$(mktemp -d)
-pids=()
+. scripts/processes.sh
 failed=0
 
-cleanup() {
-  for pid in "${pids[@]}"; do
-    kill "$pid" 2>/dev/null || true
-  done
-  wait
-  rm -rf "$work"
-}
-trap cleanup EXIT
 
 await() { # port
   for _ in $(seq 200); do
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,19 +13,9 @@
 readonly Wind="1 2 3 4" Notices="11 12 13" Archive="21 22"
 readonly Daemons="1 2 3"
 readonly ArchiveBytes=4000000 DrainBytes=64000000
-work=$(mktemp -d)
-pids=()
+. scripts/processes.sh
 broken=0
 
-cleanup() {
-  for pid in "${pids[@]}"; do
-    kill "$pid" 2>/dev/null || true
-  done
-  wait
-  rm -rf "$work"
-}
-trap cleanup EXIT
-
 # Prints the body that the stand-in at offset $1 gives for path $2.
 control() {
   exec 3<>"/dev/tcp/127.0.0.1/$((Base + $1))"
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -57,12 +57,6 @@
     keys.push_back(makePeerKey(secret));
 }
 
-std::string_view vmStateName(VmState state) {
-  static constexpr std::string_view Names[] = {"unknown", "alive",   "suspect",
-                                               "gone",    "leaving", "removed"};
-  return Names[static_cast<size_t>(state)];
-}
-
 ReducerInit reducerInit(const Settings &settings) {
   ReducerInit init;
   init.Bounds = settings.Bounds;
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -6,6 +6,12 @@
 
 namespace guavasail {
 
+std::string_view vmStateName(VmState state) {
+  static constexpr std::string_view Names[] = {"unknown", "alive",   "suspect",
+                                               "gone",    "leaving", "removed"};
+  return Names[static_cast<size_t>(state)];
+}
+
 namespace {
 
 constexpr size_t MaxNameBytes = 64;
--- a/src/query_answer.cpp
+++ b/src/query_answer.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-constexpr auto VmStateNames = std::to_array<std::string_view>(
-    {"unknown", "alive", "suspect", "gone", "leaving", "removed"});
-
 QueryCell text(std::string_view value) { return std::string(value); }
 
 QueryCell yesNo(bool value) { return text(value ? "yes" : "no"); }
@@ -143,7 +140,7 @@
     return zoneName(Members.Vms[row].Zone);
   }
   [[nodiscard]] QueryCell vmState(uint32_t row) const {
-    return text(VmStateNames[static_cast<size_t>(Members.Vms[row].State)]);
+    return text(vmStateName(Members.Vms[row].State));
   }
   [[nodiscard]] QueryCell vmIncarnation(uint32_t row) const {
     return Members.Vms[row].Incarnation;
--- /dev/null
+++ b/src/settings_fields.h
@@ -0,0 +1,160 @@
+/// \file
+/// Keys of the settings file: one table of members for each TOML table.
+#ifndef GUAVASAIL_SRC_SETTINGS_FIELDS_H
+#define GUAVASAIL_SRC_SETTINGS_FIELDS_H
+
+#include "guavasail/settings.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace guavasail::fields {
+
+inline constexpr uint32_t MaxPort = 65535;
+inline constexpr uint32_t MaxCount = 1u << 30;
+inline constexpr uint32_t MaxLanes = 64;
+
+/// A member that a key fills in.
+template <typename Spec>
+using MemberOf =
+    std::variant<bool Spec::*, std::string Spec::*, uint32_t Spec::*,
+                 uint64_t Spec::*, Duration Spec::*,
+                 std::vector<std::string> Spec::*, Digest Spec::*>;
+
+/// What a text has to be, besides a string.
+struct TextRule {
+  bool (*Accepts)(const std::string &text);
+  std::string_view Expected;
+};
+
+/// \returns true if \p text is an IP number.
+inline bool isAddress(const std::string &text) {
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  return inet_pton(AF_INET, text.c_str(), bytes.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), bytes.data()) == 1;
+}
+
+/// \returns true if \p text is a level of the log.
+inline bool isLogLevel(const std::string &text) {
+  return text == "debug" || text == "info" || text == "warning" ||
+         text == "error";
+}
+
+/// \returns true if \p text is a format of the log.
+inline bool isLogFormat(const std::string &text) {
+  return text == "text" || text == "json";
+}
+
+inline constexpr TextRule AddressRule = {&isAddress, "an IP number"};
+inline constexpr TextRule LogLevelRule = {&isLogLevel,
+                                          "one of debug info warning error"};
+inline constexpr TextRule LogFormatRule = {&isLogFormat, "one of text json"};
+
+/// One key of a table: the member it fills in and the values it accepts.
+/// Durations are whole milliseconds.
+template <typename Spec> struct Field {
+  std::string_view Key;
+  MemberOf<Spec> Member;
+  bool Required = false;
+  uint64_t Least = 0;
+  uint64_t Most = MaxCount;
+  const TextRule *Rule = nullptr;
+};
+
+inline constexpr auto DaemonFields = std::to_array<Field<DaemonSettings>>({
+    {"name", &DaemonSettings::Name},
+    {"zone", &DaemonSettings::Zone, true},
+    {"first_start", &DaemonSettings::FirstStart},
+    {"listen_address", &DaemonSettings::ListenAddress, false, 0, 0,
+     &AddressRule},
+    {"listen_port", &DaemonSettings::ListenPort, false, 1, MaxPort},
+    {"tls_certificate", &DaemonSettings::TlsCertificate},
+    {"tls_key", &DaemonSettings::TlsKey},
+    {"log_level", &DaemonSettings::LogLevel, false, 0, 0, &LogLevelRule},
+    {"log_format", &DaemonSettings::LogFormatName, false, 0, 0, &LogFormatRule},
+});
+
+/// A member that a variable of the environment replaces.
+struct Override {
+  const char *Variable;
+  std::string DaemonSettings::*Member;
+};
+
+inline constexpr auto Overrides = std::to_array<Override>({
+    {"GUAVASAIL_TLS_CERTIFICATE", &DaemonSettings::TlsCertificate},
+    {"GUAVASAIL_TLS_KEY", &DaemonSettings::TlsKey},
+});
+
+inline constexpr auto PeerFields = std::to_array<Field<PeerSettings>>({
+    {"secret_env", &PeerSettings::SecretEnv},
+    {"previous_secret_env", &PeerSettings::PreviousSecretEnv},
+});
+
+inline constexpr auto VmFields = std::to_array<Field<VmSpec>>({
+    {"name", &VmSpec::Name, true},
+    {"address", &VmSpec::Address, true, 0, 0, &AddressRule},
+    {"peer_port", &VmSpec::PeerPort, true, 1, MaxPort},
+    {"zone", &VmSpec::Zone, true},
+    {"region", &VmSpec::Region},
+});
+
+inline constexpr auto StoreFields = std::to_array<Field<StoreSettings>>({
+    {"address", &StoreSettings::Address},
+    {"port", &StoreSettings::Port, true, 1, MaxPort},
+});
+
+inline constexpr auto LimitFields = std::to_array<Field<Limits>>({
+    {"requests", &Limits::Requests, false, 1},
+    {"caller_connections", &Limits::CallerConnections, false, 1},
+    {"header_bytes", &Limits::HeaderBytes, false, 1024, 65535},
+    {"body_bytes", &Limits::BodyBytes, false, 0, uint64_t{1} << 40},
+    {"replay_bytes", &Limits::ReplayBytes},
+    {"answer_buffer_bytes", &Limits::AnswerBufferBytes, false, 4096},
+    {"lanes_per_instance", &Limits::LanesPerInstance, false, 1, MaxLanes},
+    {"attempts", &Limits::Attempts, false, 1, 16},
+    {"caller_idle_ms", &Limits::CallerIdle, false, 1},
+    {"connect_ms", &Limits::Connect, false, 1},
+});
+
+inline constexpr auto InstanceFields = std::to_array<Field<InstanceSpec>>({
+    {"name", &InstanceSpec::Name, true},
+    {"address", &InstanceSpec::Address, true, 0, 0, &AddressRule},
+    {"port", &InstanceSpec::Port, true, 1, MaxPort},
+    {"zone", &InstanceSpec::Zone, true},
+    {"slots", &InstanceSpec::Slots, false, 1},
+    {"connections", &InstanceSpec::Connections, false, 1},
+});
+
+inline constexpr auto ServiceFields = std::to_array<Field<ServiceSpec>>({
+    {"name", &ServiceSpec::Name, true},
+    {"floor_percent", &ServiceSpec::FloorPercent, false, 0, 100},
+});
+
+inline constexpr auto RouteFields = std::to_array<Field<RouteSpec>>({
+    {"name", &RouteSpec::Name, true},
+    {"prefix", &RouteSpec::Prefix, true},
+    {"service", &RouteSpec::Service, true},
+    {"timeout_ms", &RouteSpec::Timeout, false, 1},
+    {"workspaces", &RouteSpec::Workspaces},
+});
+
+inline constexpr auto WorkspaceFields = std::to_array<Field<WorkspaceSpec>>({
+    {"name", &WorkspaceSpec::Name, true},
+    {"weight", &WorkspaceSpec::Weight, false, 1, 1000},
+    {"rate", &WorkspaceSpec::RatePerSecond},
+    {"burst", &WorkspaceSpec::Burst},
+});
+
+inline constexpr auto KeyFields = std::to_array<Field<KeySpec>>({
+    {"id", &KeySpec::Id, true},
+    {"digest", &KeySpec::Value, true},
+});
+
+} // namespace guavasail::fields
+
+#endif
