--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -9,6 +9,7 @@
 #include "guavasail/member.h"
 #include "guavasail/ownership.h"
 #include "guavasail/peer_message.h"
+#include "guavasail/presence.h"
 #include "guavasail/refusal.h"
 #include "guavasail/store.h"
 
@@ -28,6 +29,8 @@
   Lane Connection;
   /// Time left for the whole request; passed on to the backend server.
   Duration Remaining{};
+  /// Name of the caller's workspace, empty if it has none.
+  std::string_view Workspace{};
 };
 
 /// Stop an attempt and drop whatever it still yields.
@@ -94,6 +97,40 @@
   bool Complete = false;
 };
 
+/// What was decided on a request.
+enum class DecisionKind : uint8_t {
+  /// An attempt starts.
+  Placed,
+  /// The request waits in its service's queue.
+  Queued,
+  /// Another attempt follows a failed one.
+  Repeated,
+  /// An answer is unusually late; another instance is asked for.
+  Overdue,
+  /// An owner did not answer.
+  OwnerSilent,
+  /// The request ended with an instance's answer.
+  Answered,
+};
+
+/// A decision on a request, for the log.
+struct Decided {
+  DecisionKind Kind = DecisionKind::Placed;
+  RequestHandle Request;
+  ServiceHandle Service;
+  InstanceHandle Instance;
+  WorkspaceHandle Workspace;
+  /// VM that decided, invalid if it is this one.
+  VmHandle Vm;
+  uint32_t Attempt = 0;
+  uint32_t Status = 0;
+  /// Time since the request arrived, or what it waited for.
+  Duration Elapsed{};
+  Duration Wait{};
+  /// Version of the configuration in force.
+  uint64_t Version = 0;
+};
+
 /// No request is in progress and the VM was asked to stop.
 struct DrainCompleted {};
 
@@ -101,7 +138,8 @@
     std::variant<StartAttempt, CancelAttempt, RelayAnswer, FinishAnswer,
                  AbortAnswer, RefuseRequest, ReplayAnswer, SendPeer,
                  MemberChanged, CallShareStore, StoreRead, StoreWrite,
-                 StoreWatch, ChangeConcluded, AuditAnswered, DrainCompleted>;
+                 StoreWatch, ChangeConcluded, AuditAnswered, DrainCompleted,
+                 Decided, CallPresence>;
 
 /// Collects effects. The memory is used again for each event.
 class EffectBuffer {
--- a/include/guavasail/event.h
+++ b/include/guavasail/event.h
@@ -10,6 +10,7 @@
 #include "guavasail/member.h"
 #include "guavasail/ownership.h"
 #include "guavasail/peer_message.h"
+#include "guavasail/presence.h"
 #include "guavasail/store.h"
 
 #include <cstdint>
@@ -38,6 +39,10 @@
 struct RequestArrived {
   RequestHandle Request;
   std::string_view Path;
+  /// Host that the request names, without its port, in lower case.
+  std::string_view Host;
+  /// The caller's name for the request; empty if it gave none.
+  std::string_view Name;
   Repeatability Repeat = Repeatability::AtMostOnce;
   /// Digest of the caller's key, absent if none came.
   Digest Key;
@@ -60,6 +65,8 @@
 struct LoadReport {
   bool Present = false;
   uint32_t SlotsInUse = 0;
+  /// Requests that wait for a slot.
+  uint32_t Waiting = 0;
   bool Leaving = false;
 };
 
@@ -69,6 +76,8 @@
   uint32_t Status = 0;
   /// The instance refused the request before running it (load shedding).
   bool Shed = false;
+  /// The address belongs to another instance, which did not run the request.
+  bool Misdirected = false;
   Duration RetryAfter{};
   LoadReport Load;
 };
@@ -143,7 +152,8 @@
     std::variant<CatalogAccepted, RecordsAssigned, RequestArrived, CallerGone,
                  AttemptAnswered, AttemptCompleted, AttemptFailed, LaneFreed,
                  PeerArrived, ShareReplied, TimeAdvanced, DrainRequested,
-                 VmListRead, StoreReplied, ChangeProposed, AuditAsked>;
+                 VmListRead, StoreReplied, ChangeProposed, AuditAsked,
+                 PresenceReplied>;
 
 /// One input of the reducer.
 struct Event {
--- a/include/guavasail/limits.h
+++ b/include/guavasail/limits.h
@@ -9,6 +9,9 @@
 
 namespace guavasail {
 
+/// Most connections that one VM holds to one instance.
+inline constexpr uint32_t MaxLanes = 64;
+
 /// Bounds that one daemon keeps. All have defaults; settings may narrow them.
 struct Limits {
   /// Requests in progress, over all callers.
@@ -31,6 +34,14 @@
   Duration CallerIdle = std::chrono::seconds(20);
   /// Time to set up a connection to an instance.
   Duration Connect = std::chrono::milliseconds(500);
+  /// Time for which an unused connection to an instance is kept.
+  Duration LaneIdle = std::chrono::seconds(30);
+  /// An answer that fits into `AnswerBufferBytes` is passed on when it is
+  /// whole, so that a broken one can be replaced by another attempt's.
+  bool HoldAnswers = false;
+  /// Time for which a VM that drains takes new requests: until the balancer in
+  /// front has seen that it is not ready.
+  Duration DrainAccept{};
 };
 
 } // namespace guavasail
--- a/include/guavasail/member.h
+++ b/include/guavasail/member.h
@@ -45,6 +45,8 @@
   std::string Region;
   /// The platform is about to stop it.
   bool Leaving = false;
+  /// Of the start that entered itself in the list; 0 if the list does not say.
+  uint64_t Incarnation = 0;
 };
 
 /// One VM of the fleet. A handle stays valid for at least `MemberForgetAfter`
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -4,6 +4,7 @@
 #define GUAVASAIL_PEER_MESSAGE_H
 
 #include "guavasail/clock.h"
+#include "guavasail/dispatch.h"
 #include "guavasail/health.h"
 #include "guavasail/member.h"
 #include "guavasail/record.h"
@@ -240,7 +241,8 @@
                  RecordSettle, RecordCopyAsk, RecordCopyPart, CrashReport,
                  QuarantineNotice, TokenAsk, TokenGrant, ConfigAsk, ConfigMark,
                  ConfigFetch, ConfigDelta, ConfigOutline, ConfigChunkAsk,
-                 ConfigChunkPart>;
+                 ConfigChunkPart, PlaceAsk, PlaceReply, PlaceDone, QuotaAsk,
+                 QuotaReply>;
 
 } // namespace guavasail
 
--- a/include/guavasail/reducer.h
+++ b/include/guavasail/reducer.h
@@ -3,11 +3,13 @@
 #ifndef GUAVASAIL_REDUCER_H
 #define GUAVASAIL_REDUCER_H
 
+#include "guavasail/dispatch.h"
 #include "guavasail/effect.h"
 #include "guavasail/event.h"
 #include "guavasail/health.h"
 #include "guavasail/limits.h"
 #include "guavasail/member.h"
+#include "guavasail/presence.h"
 #include "guavasail/rate.h"
 
 #include <cstdint>
@@ -27,6 +29,14 @@
   NearLeastLoadedOfTwo,
 };
 
+/// Who decides on instances and rates.
+enum class FleetKind : uint8_t {
+  /// Baseline: each VM by itself.
+  Alone,
+  /// One VM for each service and each workspace.
+  Owners,
+};
+
 /// Describes a reducer. Fill in what differs from the defaults.
 struct ReducerInit {
   Limits Bounds;
@@ -42,8 +52,15 @@
   /// zero.
   uint64_t Incarnation = 0;
   MembershipKind Membership = MembershipKind::Probing;
-  /// How rates are shared among VMs.
+  /// How rates are shared among VMs that decide by themselves.
   RateInit Rates;
+  FleetKind Fleet = FleetKind::Alone;
+  DispatchInit Dispatch;
+  PresenceInit Presence;
+  /// Within this time an accepted withdrawal stops a key everywhere.
+  Duration Withdrawal = std::chrono::seconds(5);
+  /// Requests are admitted while the store is away for the whole fleet.
+  bool TrustOutage = true;
   /// True if the catalog comes from the store and not from the settings.
   bool Stored = false;
   /// Seed of every random choice.
--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -4,8 +4,10 @@
 #define GUAVASAIL_SETTINGS_H
 
 #include "guavasail/catalog.h"
+#include "guavasail/clock.h"
 #include "guavasail/limits.h"
 #include "guavasail/member.h"
+#include "guavasail/header_names.h"
 
 #include <boost/outcome/result.hpp>
 #include <cstdint>
@@ -63,6 +65,18 @@
   /// IP number that callers reach.
   std::string ListenAddress = "127.0.0.1";
   uint32_t ListenPort = 8080;
+  /// The same as one text "IP:PORT", which goes before both.
+  std::string Listen;
+  /// Where the balancer asks whether the VM takes requests; without a port
+  /// only the callers' address answers.
+  std::string ReadyAddress;
+  uint32_t ReadyPort = 0;
+  std::string ReadyListen;
+  std::string ReadyPath = "/-/ready";
+  /// Where metrics are read as text.
+  std::string MetricsAddress;
+  uint32_t MetricsPort = 0;
+  std::string MetricsListen;
   /// PEM files; TLS is off if they are empty.
   std::string TlsCertificate;
   std::string TlsKey;
@@ -87,14 +101,37 @@
   std::string Address = "127.0.0.1";
   /// 0 if there is no store.
   uint32_t Port = 0;
-  /// Bearer token, from the environment; it is never in a file or log.
-  std::string Token;
+  /// The same as one text "IP:PORT", which goes before both.
+  std::string Endpoint;
+};
+
+/// How the VMs work together.
+struct FleetSettings {
+  /// "alone" or "owners", see `FleetKind`.
+  std::string Mode = "alone";
+  /// Where the other VMs reach this one.
+  std::string Address;
+  uint32_t PeerPort = 0;
+  std::string Region;
+  /// Repeats of a service's requests in a window: a share in percent and a
+  /// fixed number.
+  uint32_t RetryPercent = 20;
+  uint32_t RetrySlack = 10;
+  Duration RetryWindow = std::chrono::seconds(10);
+  /// Within this time an accepted withdrawal stops a key everywhere.
+  Duration Withdrawal = std::chrono::seconds(5);
+  /// Requests with keys are admitted while the store is away for all.
+  bool TrustOutage = true;
+  /// Life of this VM's entry in the list of VMs when it is not renewed.
+  Duration Lease = std::chrono::seconds(8);
 };
 
 /// Everything in a settings file.
 struct Settings {
   DaemonSettings Daemon;
   StoreSettings Store;
+  FleetSettings Fleet;
+  HeaderNames Headers;
   Limits Bounds;
   CatalogSpec Catalog;
   PeerSettings Peers;
--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -1,372 +1,481 @@
 #include "back_http.h"
 
 #include "answer_blob.h"
-#include "http_headers.h"
+#include "http_text.h"
 #include "log.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace guavasail {
 
 namespace {
 
-constexpr size_t BodyChunkBytes = 16 * 1024;
-constexpr size_t ReadChunkBytes = 16 * 1024;
-constexpr uint16_t KeepWarmSeconds = 30;
+/// Bytes of a request's body that wait in a connection's queue.
+constexpr size_t SendQueueBytes = 128 * 1024;
+/// Largest head of an answer. No instance needs more than a caller may send.
+constexpr uint32_t AnswerHeadBytes = 64 * 1024;
+constexpr uint32_t SwitchingProtocols = 101;
 constexpr uint32_t FirstFinalStatus = 200;
-constexpr uint32_t LastStatus = 599;
-constexpr uint32_t NoContentStatus = 204;
-constexpr uint32_t NotModifiedStatus = 304;
-
-const lws_protocols LaneProtocols[] = {
-    {"backend", &BackHttp::callback, 0, 0, 0, nullptr, 0},
-    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
-};
+constexpr uint32_t FirstRedirectStatus = 300;
+constexpr uint32_t MisdirectedStatus = 421;
+/// Left of an announced idle time, for the way of the last request.
+constexpr uint64_t IdleMarginMs = 1000;
+constexpr std::string_view EncodingName = "content-encoding:";
+constexpr std::string_view AcceptEncodingName = "accept-encoding:";
+constexpr std::string_view KeepAliveName = "keep-alive:";
+constexpr std::string_view RetryAfterName = "retry-after:";
+constexpr std::string_view TimeoutParameter = "timeout=";
+
+uint64_t laneKey(InstanceHandle instance, Lane lane) {
+  return (uint64_t{instance.Value} << 32) | lane.Value;
+}
 
-template <typename Integer> Integer parseNumber(std::string_view text) {
-  Integer value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
+/// \returns milliseconds for which the peer keeps an idle connection, or
+/// \p most if it does not say.
+uint64_t idleMillis(const MessageHead &head, uint64_t most) {
+  std::string_view list = head.field(KeepAliveName);
+  while (!list.empty()) {
+    std::string_view item = takeListItem(list);
+    if (!equalIgnoringCase(item.substr(0, TimeoutParameter.size()),
+                           TimeoutParameter))
+      continue;
+    auto seconds = parseNumber<uint32_t>(item.substr(TimeoutParameter.size()));
+    uint64_t millis = uint64_t{seconds.value_or(0)} * 1000;
+    return std::min(most, millis > IdleMarginMs ? millis - IdleMarginMs : 0);
+  }
+  return most;
 }
 
-/// Reads status, framing and headers of an answer. Interim answers are not
-/// supported by the library, which takes them for final ones.
-/// \returns false if the head makes no sense.
-bool parseHead(lws *wsi, AnswerHead &head) {
-  head.Status = lws_http_client_http_response(wsi);
-  if (head.Status < FirstFinalStatus || head.Status > LastStatus)
-    return false;
-  int lengths = headerLines(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  std::string coding = headerLine(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING);
-  head.Chunked = equalIgnoringCase(coding, "chunked");
-  if (lengths > 1 || (lengths == 1 && !coding.empty()))
-    return false;
-  if (lengths == 1)
-    head.Length =
-        parseNumber<uint64_t>(headerLine(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH));
-  auto fields = answerFields(wsi);
-  if (!fields)
-    return false;
-  head.Fields = std::move(*fields);
-  return true;
+LoadReport parseLoad(std::string_view text, bool leaving) {
+  LoadReport load;
+  load.Present = !text.empty();
+  load.SlotsInUse = parseNumber<uint32_t>(takeListItem(text)).value_or(0);
+  load.Waiting = parseNumber<uint32_t>(takeListItem(text)).value_or(0);
+  load.Leaving = leaving;
+  return load;
 }
 
-/// \returns true if an answer of this kind has no body whatever its headers.
-bool hasNoBody(const Exchange &exchange, uint32_t status) {
-  return exchange.Method == "HEAD" || status == NoContentStatus ||
-         status == NotModifiedStatus;
+bool hasField(const std::vector<HeaderField> &fields, std::string_view name) {
+  return std::any_of(fields.begin(), fields.end(), [&](const auto &it) {
+    return equalIgnoringCase(it.Name, name);
+  });
 }
 
 } // namespace
 
-/// The use of one lane by one attempt, owned by the connection.
-struct BackHttp::LaneUse {
-  BackHttp *Owner;
+/// One connection to an instance.
+struct BackHttp::Connection {
+  enum class Stage : uint8_t { Opening, Busy, Idle };
+
+  TcpStream *Stream = nullptr;
   InstanceHandle Instance;
-  Lane Connection;
+  Lane Number;
+  InstanceSpec Spec;
+  Stage State = Stage::Opening;
   AttemptHandle Attempt;
   /// Null once the attempt ended or was cancelled.
   BackendCall *Call = nullptr;
+  /// When the request's time is over, in milliseconds of the loop's clock.
+  uint64_t Due = 0;
   bool HeadSent = false;
-  bool Established = false;
-  bool Finished = false;
-  /// Position up to which the library took the bytes of the read in progress,
-  /// null if there is none, and where that read began.
-  char *const *ReadAt = nullptr;
-  const char *ReadFrom = nullptr;
-  /// The answer's head makes no sense.
-  bool Malformed = false;
+  bool LastChunkSent = false;
+  bool AnswerBegun = false;
+  bool Answered = false;
+  /// An answer to another request is being skipped.
+  bool Skipping = false;
+  /// Bytes came that belong to no request: the connection is not kept.
+  bool Tainted = false;
+  AttemptAnswered Event;
+  std::string In;
+  std::string Body;
+  std::unique_ptr<HttpReader> Reader;
 };
 
-const BackHttp::Row BackHttp::Rows[] = {
-    {LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER, &BackHttp::onAppendHead},
-    {LWS_CALLBACK_CLIENT_HTTP_WRITEABLE, &BackHttp::onWritable},
-    {LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP, &BackHttp::onEstablished},
-    {LWS_CALLBACK_RECEIVE_CLIENT_HTTP, &BackHttp::onReceive},
-    {LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ, &BackHttp::onReceiveBytes},
-    {LWS_CALLBACK_COMPLETED_CLIENT_HTTP, &BackHttp::onCompleted},
-    {LWS_CALLBACK_CLIENT_CONNECTION_ERROR, &BackHttp::onConnectError},
-    {LWS_CALLBACK_WSI_DESTROY, &BackHttp::onDestroy},
-};
+BackHttp::BackHttp(uv_loop_t &loop, const Limits &bounds,
+                   const HeaderNames &names, ExchangeTable &exchanges,
+                   EventSink &sink)
+    : Loop(loop), Bounds(bounds), Names(names), Exchanges(exchanges),
+      Sink(sink) {}
 
-BackHttp::BackHttp(lws_context *context, const Limits &bounds,
-                   ExchangeTable &exchanges, EventSink &sink)
-    : Context(context), Bounds(bounds), Exchanges(exchanges), Sink(sink) {}
-
-lws_vhost *BackHttp::lane(Lane lane) {
-  while (Lanes.size() <= lane.Value) {
-    lws_context_creation_info info{};
-    // The library keeps a pointer to the name.
-    const std::string &name =
-        LaneNames.emplace_back("lane-" + std::to_string(Lanes.size()));
-    info.vhost_name = name.c_str();
-    info.port = CONTEXT_PORT_NO_LISTEN;
-    info.protocols = LaneProtocols;
-    info.connect_timeout_secs = static_cast<unsigned>(std::max<int64_t>(
-        1, std::chrono::ceil<std::chrono::seconds>(Bounds.Connect).count()));
-    Lanes.push_back(lws_create_vhost(Context, &info));
+BackHttp::~BackHttp() = default;
+
+void BackHttp::close() {
+  for (auto &[key, it] : Lanes)
+    if (it->Stream)
+      it->Stream->close();
+  Lanes.clear();
+}
+
+BackHttp::Connection &BackHttp::lane(const StartAttempt &effect,
+                                     const InstanceSpec &instance) {
+  auto &slot = Lanes[laneKey(effect.Instance, effect.Connection)];
+  bool same = slot && slot->Spec.Address == instance.Address &&
+              slot->Spec.Port == instance.Port &&
+              slot->Spec.Started == instance.Started;
+  if (slot && !same)
+    slot->Stream->close();
+  if (!same) {
+    slot = std::make_unique<Connection>();
+    slot->Instance = effect.Instance;
+    slot->Number = effect.Connection;
+    slot->Spec = instance;
+    slot->Stream = TcpStream::connect(Loop, instance.Address, instance.Port,
+                                      static_cast<StreamOwner &>(*this));
+    slot->Stream->Context = slot.get();
+    auto wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Bounds.Connect);
+    slot->Stream->setDeadline(loopMillis(Loop) +
+                              static_cast<uint64_t>(wait.count()));
   }
-  return Lanes[lane.Value];
+  return *slot;
 }
 
 void BackHttp::start(const StartAttempt &effect, const InstanceSpec &instance) {
   Exchange *exchange = Exchanges.find(effect.Attempt.Request);
-  auto *use =
-      new LaneUse{this, effect.Instance, effect.Connection, effect.Attempt};
-  if (!exchange) {
-    finishUse(*use);
-    delete use;
-    return;
-  }
+  if (!exchange)
+    return Sink.post(LaneFreed{effect.Instance, effect.Connection});
   auto call = std::make_unique<BackendCall>();
   call->Attempt = effect.Attempt;
-  use->Call = call.get();
-  BackendCall &started = *exchange->Calls.emplace_back(std::move(call));
-  started.Remaining =
+  call->Workspace = effect.Workspace;
+  call->Remaining =
       std::chrono::ceil<std::chrono::milliseconds>(effect.Remaining);
+  Connection &it = lane(effect, instance);
+  call->Connection = &it;
+  it.Call = call.get();
+  it.Attempt = effect.Attempt;
+  it.Due = loopMillis(Loop) + static_cast<uint64_t>(call->Remaining.count());
+  it.HeadSent = it.LastChunkSent = false;
+  exchange->Calls.push_back(std::move(call));
+  // The start of a long body is not kept, so it cannot be sent again.
+  if (exchange->BodyBase > 0)
+    return fail(it, AttemptFault::Reset);
   Listener->bodyWanted(*exchange);
+  if (it.State == Connection::Stage::Idle) {
+    it.State = Connection::Stage::Busy;
+    it.Stream->setDeadline(0);
+    sendHead(it);
+  }
+}
 
-  lws_client_connect_info info{};
-  info.context = Context;
-  info.address = instance.Address.c_str();
-  info.port = static_cast<int>(instance.Port);
-  info.path = exchange->Target.c_str();
-  // The library finds an idle connection by comparing the host of the one
-  // with the address of the other.
-  info.host = info.address;
-  info.origin = nullptr;
-  info.method = exchange->Method.c_str();
-  info.protocol = LaneProtocols[0].name;
-  info.local_protocol_name = LaneProtocols[0].name;
-  info.alpn = "http/1.1";
-  info.vhost = lane(effect.Connection);
-  info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-  info.keep_warm_secs = KeepWarmSeconds;
-  info.opaque_user_data = use;
-  info.pwsi = &started.Wsi;
-  // On failure the library has called back with the error already, unless it
-  // failed before a connection existed.
-  lws_client_connect_via_info(&info);
+void BackHttp::onOpen(TcpStream &stream) {
+  auto &it = *static_cast<Connection *>(stream.Context);
+  it.State = Connection::Stage::Busy;
+  stream.setDeadline(0);
+  sendHead(it);
 }
 
-void BackHttp::cancel(const CancelAttempt &effect) {
-  Exchange *exchange = Exchanges.find(effect.Attempt.Request);
-  BackendCall *call = exchange ? exchange->call(effect.Attempt) : nullptr;
-  if (call)
-    detach(*call);
+void BackHttp::beginRead(Connection &it) {
+  ReadLimits limits{AnswerHeadBytes, UINT64_MAX};
+  it.Body.clear();
+  it.Reader =
+      std::make_unique<HttpReader>(MessageKind::Answer, limits, it.Body);
+  it.AnswerBegun = it.Skipping = false;
+  Exchange *exchange = Exchanges.find(it.Attempt.Request);
+  if (exchange && exchange->Method == "HEAD")
+    it.Reader->expectNoBody();
 }
 
-void BackHttp::detach(BackendCall &call) {
-  if (!call.Wsi)
-    return;
-  auto *use = static_cast<LaneUse *>(lws_get_opaque_user_data(call.Wsi));
-  if (use)
-    use->Call = nullptr;
-  lws_set_timeout(call.Wsi, PENDING_TIMEOUT_KILLED_BY_PARENT,
-                  LWS_TO_KILL_ASYNC);
-  call.Wsi = nullptr;
+std::string BackHttp::requestHead(const Connection &it,
+                                  const Exchange &exchange) const {
+  std::string head = exchange.Method + " " + exchange.Target + " HTTP/1.1\r\n";
+  appendField(head, "host:",
+              Names.PassHost ? exchange.Host : it.Spec.Address);
+  for (const HeaderField &field : exchange.Fields)
+    appendField(head, field.Name, field.Value);
+  uint64_t now = loopMillis(Loop);
+  appendField(head, Names.Timeout + ":",
+              std::to_string(it.Due > now ? it.Due - now : 1));
+  if (!Names.ExpectedInstance.empty())
+    appendField(head, Names.ExpectedInstance + ":", it.Spec.Name);
+  if (!Names.Workspace.empty() && !it.Call->Workspace.empty())
+    appendField(head, Names.Workspace + ":", it.Call->Workspace);
+  // An empty body is declared too, or the instance would wait for one.
+  if (exchange.BodyChunked && !exchange.RequestWhole)
+    appendField(head, "transfer-encoding:", "chunked");
+  else if (exchange.MayHaveBody)
+    appendField(head, "content-length:", std::to_string(exchange.BodyBytes));
+  return head + "\r\n";
 }
 
-void BackHttp::resume(BackendCall &call) {
-  if (!call.Paused || !call.Wsi)
+void BackHttp::sendHead(Connection &it) {
+  Exchange *exchange = Exchanges.find(it.Attempt.Request);
+  if (!it.Call || !exchange)
+    return fail(it, AttemptFault::ConnectFailed);
+  it.Answered = false;
+  it.Event = AttemptAnswered{};
+  it.Event.Attempt = it.Attempt;
+  beginRead(it);
+  // A chunked body that is whole by now has a length.
+  it.LastChunkSent = !exchange->BodyChunked || exchange->RequestWhole;
+  it.HeadSent = true;
+  it.Stream->write(requestHead(it, *exchange));
+  sendBody(it);
+}
+
+void BackHttp::sendBody(Connection &it) {
+  Exchange *exchange = Exchanges.find(it.Attempt.Request);
+  if (!it.Call || !exchange || !it.HeadSent)
     return;
-  call.Paused = false;
-  lws_rx_flow_control(call.Wsi, 1);
+  uint64_t from = it.Call->SentBytes - exchange->BodyBase;
+  std::string_view rest = std::string_view(exchange->Body).substr(from);
+  if (it.Stream->queued() > SendQueueBytes)
+    return;
+  if (it.LastChunkSent) {
+    it.Stream->write(std::string(rest));
+  } else {
+    bool last = exchange->RequestWhole;
+    it.Stream->write(frameChunk(rest, last));
+    it.LastChunkSent = last;
+  }
+  it.Call->SentBytes += rest.size();
+  if (exchange->BodyBytes > Bounds.ReplayBytes && !rest.empty()) {
+    exchange->Body.erase(0, from + rest.size());
+    exchange->BodyBase = it.Call->SentBytes;
+  }
+  Listener->bodyDrained(*exchange);
+}
+
+void BackHttp::onDrained(TcpStream &stream) {
+  sendBody(*static_cast<Connection *>(stream.Context));
 }
 
 void BackHttp::bodyGrew(Exchange &exchange) {
   for (const auto &it : exchange.Calls)
-    if (it->Wsi)
-      lws_callback_on_writable(it->Wsi);
+    if (it->Connection)
+      sendBody(*static_cast<Connection *>(it->Connection));
 }
 
-void BackHttp::release(Exchange &exchange) {
-  for (const auto &it : exchange.Calls)
-    detach(*it);
-  exchange.Source = nullptr;
-  exchange.Calls.clear();
+void BackHttp::onBytes(TcpStream &stream, std::string_view bytes) {
+  auto &it = *static_cast<Connection *>(stream.Context);
+  if (it.State == Connection::Stage::Idle) {
+    // Nothing was asked: whatever this is, no request may get it.
+    logLine(LogLevel::Warning, "backend-bytes-unasked",
+            {{"instance", it.Spec.Name},
+             {"bytes", static_cast<int64_t>(bytes.size())}});
+    return drop(it);
+  }
+  it.In.append(bytes);
+  readOn(it);
 }
 
-int BackHttp::callback(lws *wsi, lws_callback_reasons reason, void *user,
-                       void *in, size_t len) {
-  auto *use =
-      wsi ? static_cast<LaneUse *>(lws_get_opaque_user_data(wsi)) : nullptr;
-  if (!use)
-    return lws_callback_http_dummy(wsi, reason, user, in, len);
-  for (const Row &row : Rows)
-    if (row.Reason == reason)
-      return (use->Owner->*row.Handle)(*use, wsi, in, len);
-  return 0;
+void BackHttp::readOn(Connection &it) {
+  while (true) {
+    Exchange *exchange = Exchanges.find(it.Attempt.Request);
+    if (!it.Call || !exchange)
+      return drop(it);
+    size_t n = it.Reader->feed(it.In);
+    it.In.erase(0, n);
+    if (it.Reader->fault() != ReadFault::None)
+      return fail(it, it.Answered ? AttemptFault::Truncated
+                                  : AttemptFault::MalformedAnswer);
+    if (!it.Reader->headRead())
+      return;
+    if (!it.AnswerBegun && !takeHead(it, *exchange))
+      return fail(it, AttemptFault::MalformedAnswer);
+    bool own = !it.Skipping;
+    if (own)
+      takeBody(it, *exchange);
+    else
+      it.Body.clear();
+    if (!it.Reader->whole())
+      return;
+    if (own)
+      return complete(it, *exchange);
+    beginRead(it);
+  }
 }
 
-int BackHttp::onAppendHead(LaneUse &use, lws *wsi, void *in, size_t len) {
-  use.HeadSent = true;
-  Exchange *exchange = Exchanges.find(use.Attempt.Request);
-  if (!use.Call || !exchange)
-    return -1;
-  auto **at = static_cast<unsigned char **>(in);
-  unsigned char *end = *at + len;
-  HeaderField timeout{std::string(TimeoutHeader),
-                      std::to_string(use.Call->Remaining.count())};
-  if (!writeFields(wsi, exchange->Fields, at, end) ||
-      !writeFields(wsi, {&timeout, 1}, at, end))
-    return -1;
-  // An empty body is declared too, or the instance would wait for one.
-  if (exchange->MayHaveBody &&
-      lws_add_http_header_content_length(wsi, exchange->BodyBytes, at, end))
-    return -1;
-  if (exchange->BodyBytes == 0)
-    return 0;
-  lws_client_http_body_pending(wsi, 1);
-  lws_callback_on_writable(wsi);
-  return 0;
+bool BackHttp::isForeign(const Connection &it, const Exchange &exchange) const {
+  if (!Names.EchoedId || exchange.CallerId.empty())
+    return false;
+  std::string_view echoed = it.Reader->head().field(Names.RequestId + ":");
+  return !echoed.empty() && echoed != exchange.CallerId;
 }
 
-int BackHttp::onWritable(LaneUse &use, lws *wsi, void *, size_t) {
-  Exchange *exchange = Exchanges.find(use.Attempt.Request);
-  if (!use.Call || !exchange)
-    return -1;
-  uint64_t from = use.Call->SentBytes - exchange->BodyBase;
-  std::string_view rest = std::string_view(exchange->Body).substr(from);
-  size_t n = std::min(rest.size(), BodyChunkBytes);
-  if (n == 0)
-    return 0;
-  std::array<unsigned char, LWS_PRE + BodyChunkBytes> buf;
-  std::copy_n(rest.data(), n, buf.data() + LWS_PRE);
-  bool last = use.Call->SentBytes + n == exchange->BodyBytes;
-  if (last)
-    lws_client_http_body_pending(wsi, 0);
-  int written = lws_write(wsi, buf.data() + LWS_PRE, n,
-                          last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
-  if (written < 0)
-    return -1;
-  use.Call->SentBytes += n;
-  if (exchange->BodyBytes > Bounds.ReplayBytes) {
-    exchange->Body.erase(0, from + n);
-    exchange->BodyBase = use.Call->SentBytes;
-  }
-  if (!last)
-    lws_callback_on_writable(wsi);
-  Listener->bodyDrained(*exchange);
-  return 0;
+/// \returns true if the answer can be the instance's own.
+bool BackHttp::isGenuine(const MessageHead &head,
+                         const Exchange &exchange) const {
+  std::string idName = Names.RequestId + ":";
+  if (Names.EchoedId && !exchange.CallerId.empty() &&
+      (head.count(idName) != 1))
+    return false;
+  bool success = head.Status >= FirstFinalStatus &&
+                 head.Status < FirstRedirectStatus;
+  if (Names.Signature.empty() || !success)
+    return true;
+  bool encoded = head.count(EncodingName) > 0 &&
+                 !hasField(exchange.Fields, AcceptEncodingName);
+  return head.count(Names.Signature + ":") == 1 && !encoded;
 }
 
-int BackHttp::onEstablished(LaneUse &use, lws *wsi, void *, size_t) {
-  Exchange *exchange = Exchanges.find(use.Attempt.Request);
-  if (!use.Call || !exchange)
-    return -1;
-  AnswerHead &head = use.Call->Head;
-  if (!parseHead(wsi, head)) {
-    use.Malformed = true;
-    return -1;
+/// Takes the head of the next answer.
+/// \returns false if it makes no sense.
+bool BackHttp::takeHead(Connection &it, Exchange &exchange) {
+  MessageHead &head = it.Reader->head();
+  it.AnswerBegun = true;
+  if (head.Status == SwitchingProtocols)
+    return false;
+  it.Skipping = head.Status < FirstFinalStatus;
+  if (it.Skipping)
+    return true;
+  if (isForeign(it, exchange)) {
+    logLine(LogLevel::Warning, "backend-answer-foreign",
+            {{"request", std::string_view(exchange.CallerId)},
+             {"instance", it.Spec.Name}});
+    it.Skipping = it.Tainted = true;
+    return true;
   }
-  use.Established = true;
-  AttemptAnswered event;
-  event.Attempt = use.Attempt;
-  event.Status = head.Status;
-  event.Shed = !customHeader(wsi, NotRunHeader).empty();
-  std::string load = customHeader(wsi, LoadHeader);
-  event.Load.Present = !load.empty();
-  event.Load.SlotsInUse = parseNumber<uint32_t>(load);
-  event.Load.Leaving = !customHeader(wsi, LeavingHeader).empty();
-  event.RetryAfter = std::chrono::seconds(
-      parseNumber<uint32_t>(headerLine(wsi, WSI_TOKEN_HTTP_RETRY_AFTER)));
-  Sink.post(event);
-  return 0;
+  bool clean = std::all_of(
+      head.Fields.begin(), head.Fields.end(),
+      [](const HeaderField &field) { return isCleanValue(field.Value); });
+  if (!clean || !isGenuine(head, exchange))
+    return false;
+  it.Event.Status = head.Status;
+  it.Event.Misdirected = head.Status == MisdirectedStatus &&
+                         !Names.ExpectedInstance.empty();
+  it.Event.Shed =
+      it.Event.Misdirected || head.count(Names.NotRun + ":") > 0;
+  it.Event.Load = parseLoad(head.field(Names.Load + ":"),
+                            head.count(Names.Leaving + ":") > 0);
+  auto seconds = parseNumber<uint32_t>(head.field(RetryAfterName));
+  it.Event.RetryAfter = std::chrono::seconds(seconds.value_or(0));
+  AnswerHead &answer = it.Call->Head;
+  answer.Status = head.Status;
+  answer.Length = head.Length;
+  answer.Chunked = head.Chunked;
+  answer.Fields = head.Fields;
+  dropHopByHop(answer.Fields);
+  if (!Bounds.HoldAnswers)
+    postAnswered(it);
+  return true;
 }
 
-int BackHttp::onReceive(LaneUse &use, lws *wsi, void *, size_t) {
-  if (!use.Call)
-    return -1;
-  std::array<char, LWS_PRE + ReadChunkBytes> buf;
-  char *at = buf.data() + LWS_PRE;
-  int n = ReadChunkBytes;
-  use.ReadFrom = at;
-  use.ReadAt = &at;
-  int result = lws_http_client_read(wsi, &at, &n);
-  use.ReadAt = nullptr;
-  if (result < 0)
-    return -1;
-  // A completed answer leaves the connection open for the next request.
-  return use.Call || use.Finished ? 0 : -1;
+void BackHttp::postAnswered(Connection &it) {
+  if (it.Answered)
+    return;
+  it.Answered = true;
+  Sink.post(it.Event);
 }
 
-int BackHttp::onReceiveBytes(LaneUse &use, lws *wsi, void *in, size_t len) {
-  Exchange *exchange = Exchanges.find(use.Attempt.Request);
-  if (!use.Call || !exchange)
-    return -1;
-  BackendCall &call = *use.Call;
-  call.Answer.append({static_cast<const char *>(in), len});
-  call.AnswerBytes += len;
-  if (exchange->KeepAnswer && call.AnswerBytes <= MaxKeptBodyBytes)
-    call.Kept.append(static_cast<const char *>(in), len);
-  if (call.Answer.unread().size() > Bounds.AnswerBufferBytes && !call.Paused) {
+void BackHttp::takeBody(Connection &it, Exchange &exchange) {
+  if (it.Body.empty())
+    return;
+  BackendCall &call = *it.Call;
+  call.Answer.append(it.Body);
+  call.AnswerBytes += it.Body.size();
+  if (exchange.KeepAnswer && call.AnswerBytes <= MaxKeptBodyBytes)
+    call.Kept.append(it.Body);
+  it.Body.clear();
+  if (call.Answer.unread().size() > Bounds.AnswerBufferBytes) {
+    postAnswered(it);
     call.Paused = true;
-    lws_rx_flow_control(wsi, 0);
+    it.Stream->pause();
   }
-  Listener->answerGrew(*exchange);
-  return 0;
+  if (it.Answered)
+    Listener->answerGrew(exchange);
 }
 
-int BackHttp::onCompleted(LaneUse &use, lws *, void *, size_t) {
-  Exchange *exchange = Exchanges.find(use.Attempt.Request);
-  if (!use.Call || !exchange)
-    return -1;
-  BackendCall &call = *use.Call;
-  if (!isWhole(use, *exchange))
-    return -1;
-  bool keep = exchange->KeepAnswer && call.AnswerBytes == call.Kept.size();
+void BackHttp::complete(Connection &it, Exchange &exchange) {
+  BackendCall &call = *it.Call;
+  bool requestSent = it.LastChunkSent && exchange.bodyRead() &&
+                     call.SentBytes >= exchange.receivedBytes();
+  bool bodyless = exchange.Method == "HEAD" || call.Head.Status == 204 ||
+                  call.Head.Status == 304;
+  // A whole answer in hand has a length, whatever way it came.
+  if (!it.Answered && !bodyless)
+    call.Head.Length = call.AnswerBytes;
+  postAnswered(it);
+  bool keep = exchange.KeepAnswer && call.AnswerBytes == call.Kept.size();
   if (keep)
-    exchange->Kept = encodeAnswer(call.Head, call.Kept);
-  Sink.post(AttemptCompleted{use.Attempt, call.AnswerBytes, exchange->Kept});
-  call.Wsi = nullptr;
-  use.Call = nullptr;
-  finishUse(use);
-  return 0;
+    exchange.Kept = encodeAnswer(call.Head, call.Kept);
+  Sink.post(AttemptCompleted{it.Attempt, call.AnswerBytes, exchange.Kept});
+  call.Connection = nullptr;
+  it.Call = nullptr;
+  Sink.post(LaneFreed{it.Instance, it.Number});
+  keepOrClose(it, requestSent);
 }
 
-bool BackHttp::isWhole(const LaneUse &use, const Exchange &exchange) {
-  const AnswerHead &head = use.Call->Head;
-  if (hasNoBody(exchange, head.Status))
-    return true;
-  if (head.Length)
-    return *head.Length == use.Call->AnswerBytes;
-  // The library also reports the end of the connection as completion. Only
-  // the last chunk makes it take bytes.
-  return head.Chunked && use.ReadAt && *use.ReadAt != use.ReadFrom;
+void BackHttp::keepOrClose(Connection &it, bool requestSent) {
+  auto most = static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Bounds.LaneIdle)
+          .count());
+  uint64_t idle = idleMillis(it.Reader->head(), most);
+  bool keep = requestSent && !it.Tainted && it.In.empty() && idle > 0 &&
+              it.Reader->head().KeepAlive;
+  if (!keep)
+    return drop(it);
+  it.State = Connection::Stage::Idle;
+  it.Reader.reset();
+  it.Stream->resume();
+  it.Stream->setDeadline(loopMillis(Loop) + idle);
 }
 
-int BackHttp::onConnectError(LaneUse &, lws *, void *, size_t) { return 0; }
+void BackHttp::onEnd(TcpStream &stream, StreamEnd end) {
+  auto &it = *static_cast<Connection *>(stream.Context);
+  it.Stream = nullptr;
+  if (it.State == Connection::Stage::Idle)
+    return drop(it);
+  if (it.State == Connection::Stage::Opening)
+    return fail(it, end == StreamEnd::TimedOut ? AttemptFault::ConnectTimedOut
+                                               : AttemptFault::ConnectFailed);
+  Exchange *exchange = Exchanges.find(it.Attempt.Request);
+  bool last = end == StreamEnd::Closed && it.Reader && !it.Skipping &&
+              it.Reader->endsWithConnection();
+  if (last && it.Call && exchange) {
+    it.Reader->end();
+    it.Tainted = true;
+    return complete(it, *exchange);
+  }
+  fail(it, it.Answered ? AttemptFault::Truncated : AttemptFault::Reset);
+}
 
-int BackHttp::onDestroy(LaneUse &use, lws *wsi, void *, size_t) {
-  if (use.Call) {
-    use.Call->Wsi = nullptr;
-    postFailure(use);
+void BackHttp::fail(Connection &it, AttemptFault fault) {
+  if (it.Call) {
+    it.Call->Connection = nullptr;
+    Sink.post(AttemptFailed{it.Attempt, fault, it.HeadSent});
+    it.Call = nullptr;
+    Sink.post(LaneFreed{it.Instance, it.Number});
   }
-  finishUse(use);
-  lws_set_opaque_user_data(wsi, nullptr);
-  delete &use;
-  return 0;
+  drop(it);
 }
 
-void BackHttp::postFailure(const LaneUse &use) {
-  AttemptFault fault = AttemptFault::ConnectFailed;
-  if (use.Established)
-    fault = AttemptFault::Truncated;
-  else if (use.Malformed)
-    fault = AttemptFault::MalformedAnswer;
-  else if (use.HeadSent)
-    fault = AttemptFault::Reset;
-  Sink.post(AttemptFailed{use.Attempt, fault, use.HeadSent});
+/// Closes a connection and forgets it.
+void BackHttp::drop(Connection &it) {
+  if (it.Stream)
+    it.Stream->close();
+  Lanes.erase(laneKey(it.Instance, it.Number));
 }
 
-void BackHttp::finishUse(LaneUse &use) {
-  if (use.Finished)
+void BackHttp::cancel(const CancelAttempt &effect) {
+  Exchange *exchange = Exchanges.find(effect.Attempt.Request);
+  BackendCall *call = exchange ? exchange->call(effect.Attempt) : nullptr;
+  if (call)
+    detach(*call);
+}
+
+void BackHttp::detach(BackendCall &call) {
+  if (!call.Connection)
+    return;
+  auto &it = *static_cast<Connection *>(call.Connection);
+  call.Connection = nullptr;
+  it.Call = nullptr;
+  Sink.post(LaneFreed{it.Instance, it.Number});
+  drop(it);
+}
+
+void BackHttp::resume(BackendCall &call) {
+  bool room = call.Answer.unread().size() <= Bounds.AnswerBufferBytes;
+  if (!call.Paused || !call.Connection || !room)
     return;
-  use.Finished = true;
-  Sink.post(LaneFreed{use.Instance, use.Connection});
+  call.Paused = false;
+  static_cast<Connection *>(call.Connection)->Stream->resume();
+}
+
+void BackHttp::release(Exchange &exchange) {
+  for (const auto &it : exchange.Calls)
+    detach(*it);
+  exchange.Source = nullptr;
+  exchange.Calls.clear();
 }
 
 } // namespace guavasail
--- a/src/back_http.h
+++ b/src/back_http.h
@@ -1,41 +1,33 @@
 /// \file
-/// Calls to backend servers by the HTTP library's client.
+/// Calls to backend servers over HTTP/1.
 #ifndef GUAVASAIL_SRC_BACK_HTTP_H
 #define GUAVASAIL_SRC_BACK_HTTP_H
 
 #include "event_sink.h"
 #include "exchange.h"
+#include "front_end.h"
 #include "guavasail/catalog.h"
 #include "guavasail/effect.h"
 #include "guavasail/limits.h"
+#include "guavasail/header_names.h"
+#include "http_reader.h"
+#include "tcp_stream.h"
 
-#include <deque>
-#include <libwebsockets.h>
+#include <memory>
 #include <string>
-#include <vector>
+#include <unordered_map>
 
 namespace guavasail {
 
-/// Told when a call's answer has more bytes.
-class AnswerListener {
+/// Runs attempts. Each lane is one connection, which carries one request at a
+/// time, so no request queues behind another one.
+class BackHttp : private StreamOwner {
 public:
-  virtual void answerGrew(Exchange &exchange) = 0;
-  /// More room for the request's body is available.
-  virtual void bodyDrained(Exchange &exchange) = 0;
-  /// An attempt starts and will need the request's body.
-  virtual void bodyWanted(Exchange &exchange) = 0;
-
-protected:
-  ~AnswerListener() = default;
-};
-
-/// Runs attempts. Each lane is a virtual host of the HTTP library, whose
-/// connections are matched within a virtual host only: so a request never
-/// queues behind another one on the same connection.
-class BackHttp {
-public:
-  BackHttp(lws_context *context, const Limits &bounds, ExchangeTable &exchanges,
-           EventSink &sink);
+  BackHttp(uv_loop_t &loop, const Limits &bounds, const HeaderNames &names,
+           ExchangeTable &exchanges, EventSink &sink);
+  ~BackHttp();
+  BackHttp(const BackHttp &) = delete;
+  BackHttp &operator=(const BackHttp &) = delete;
 
   /// Sets who is told of answer bytes. Must be called before `start`.
   void listen(AnswerListener &listener) { Listener = &listener; }
@@ -55,43 +47,44 @@
   /// Detaches all calls from an exchange that ends.
   void release(Exchange &exchange);
 
-  /// Entry of the HTTP library.
-  static int callback(lws *wsi, lws_callback_reasons reason, void *user,
-                      void *in, size_t len);
+  /// Closes all connections.
+  void close();
 
 private:
-  struct LaneUse;
-  using Handler = int (BackHttp::*)(LaneUse &use, lws *wsi, void *in,
-                                    size_t len);
-  struct Row {
-    lws_callback_reasons Reason;
-    Handler Handle;
-  };
-  static const Row Rows[];
-
-  int onAppendHead(LaneUse &use, lws *wsi, void *in, size_t len);
-  int onWritable(LaneUse &use, lws *wsi, void *in, size_t len);
-  int onEstablished(LaneUse &use, lws *wsi, void *in, size_t len);
-  int onReceive(LaneUse &use, lws *wsi, void *in, size_t len);
-  int onReceiveBytes(LaneUse &use, lws *wsi, void *in, size_t len);
-  int onCompleted(LaneUse &use, lws *wsi, void *in, size_t len);
-  int onConnectError(LaneUse &use, lws *wsi, void *in, size_t len);
-  int onDestroy(LaneUse &use, lws *wsi, void *in, size_t len);
-
-  static bool isWhole(const LaneUse &use, const Exchange &exchange);
-  lws_vhost *lane(Lane lane);
-  void postFailure(const LaneUse &use);
-  void finishUse(LaneUse &use);
+  struct Connection;
+
+  void onOpen(TcpStream &stream) override;
+  void onBytes(TcpStream &stream, std::string_view bytes) override;
+  void onDrained(TcpStream &stream) override;
+  void onEnd(TcpStream &stream, StreamEnd end) override;
+
+  Connection &lane(const StartAttempt &effect, const InstanceSpec &instance);
+  void beginRead(Connection &it);
+  void sendHead(Connection &it);
+  std::string requestHead(const Connection &it, const Exchange &exchange) const;
+  void sendBody(Connection &it);
+  void readOn(Connection &it);
+  bool takeHead(Connection &it, Exchange &exchange);
+  [[nodiscard]] bool isForeign(const Connection &it,
+                               const Exchange &exchange) const;
+  [[nodiscard]] bool isGenuine(const MessageHead &head,
+                               const Exchange &exchange) const;
+  void takeBody(Connection &it, Exchange &exchange);
+  void postAnswered(Connection &it);
+  void complete(Connection &it, Exchange &exchange);
+  void keepOrClose(Connection &it, bool requestSent);
+  void fail(Connection &it, AttemptFault fault);
   void detach(BackendCall &call);
+  void drop(Connection &it);
 
-  lws_context *Context;
-  Limits Bounds;
+  uv_loop_t &Loop;
+  const Limits &Bounds;
+  const HeaderNames &Names;
   ExchangeTable &Exchanges;
   EventSink &Sink;
   AnswerListener *Listener = nullptr;
-  std::vector<lws_vhost *> Lanes;
-  /// A deque, so that the names stay in place.
-  std::deque<std::string> LaneNames;
+  /// By instance and lane.
+  std::unordered_map<uint64_t, std::unique_ptr<Connection>> Lanes;
 };
 
 } // namespace guavasail
--- a/src/catalog_index.cpp
+++ b/src/catalog_index.cpp
@@ -14,13 +14,8 @@
   return entries[handle.Value];
 }
 
-/// \returns \p path without its last segment, "/" for a single segment.
-std::string_view parentPath(std::string_view path) {
-  size_t slash = path.rfind('/');
-  if (slash == std::string_view::npos)
-    return {};
-  return slash == 0 ? path.substr(0, 1) : path.substr(0, slash);
-}
+/// Spreads successive numbers evenly over the whole range (Weyl sequence).
+constexpr uint64_t GoldenStep = 0x9e3779b97f4a7c15ULL;
 
 } // namespace
 
@@ -79,6 +74,7 @@
   entry.Weight = spec.Weight;
   entry.RatePerSecond = spec.RatePerSecond;
   entry.Burst = spec.Burst;
+  entry.Rank = spec.Rank;
   entry.Present = true;
   for (const KeySpec &key : spec.Keys) {
     Keys.emplace(key.Value, handle);
@@ -89,14 +85,24 @@
 void CatalogIndex::acceptRoute(const RouteSpec &spec) {
   RouteHandle handle = RouteNames.intern(spec.Name);
   RouteEntry &entry = grow(Routes, handle);
-  entry.Service = ServiceNames.find(spec.Service);
+  entry.Splits.clear();
+  for (const SplitSpec &it : spec.Splits)
+    if (ServiceHandle part = ServiceNames.find(it.Service); part.valid())
+      entry.Splits.push_back({part, it.Weight});
+  entry.Service = entry.Splits.empty() ? ServiceNames.find(spec.Service)
+                                       : entry.Splits.front().Service;
+  entry.Kind = spec.Kind;
+  entry.Attempts = spec.Attempts;
+  entry.Priority = spec.Priority;
+  entry.Objective = spec.Objective;
+  entry.Anonymous = spec.Anonymous;
   entry.Timeout = spec.Timeout;
   entry.Present = entry.Service.valid();
   entry.Workspaces.clear();
   for (const std::string &name : spec.Workspaces)
     entry.Workspaces.push_back(WorkspaceNames.intern(name));
   std::sort(entry.Workspaces.begin(), entry.Workspaces.end());
-  entry.Prefix = Prefixes.intern(spec.Prefix);
+  entry.Prefix = Prefixes.intern(spec.Host + spec.Prefix);
   grow(RouteOfPrefix, entry.Prefix) = handle;
 }
 
@@ -160,18 +166,47 @@
   entry.Present = false;
 }
 
-RouteHandle CatalogIndex::route(std::string_view path) const {
-  while (!path.empty()) {
-    auto prefix = Prefixes.find(path);
-    if (prefix.valid() && RouteOfPrefix[prefix.Value].valid())
-      return RouteOfPrefix[prefix.Value];
-    if (path == "/")
-      break;
-    path = parentPath(path);
+RouteHandle CatalogIndex::routeOf(std::string_view prefix) const {
+  auto handle = Prefixes.find(prefix);
+  return handle.valid() ? RouteOfPrefix[handle.Value] : RouteHandle{};
+}
+
+RouteHandle CatalogIndex::route(std::string_view host,
+                                std::string_view path) const {
+  std::string place(host);
+  place.append(path);
+  // A prefix ends with the path, before a slash or behind one.
+  for (size_t n = path.size(); n > 0; --n) {
+    bool border = n == path.size() || path[n] == '/' || path[n - 1] == '/';
+    if (!border)
+      continue;
+    auto ofHost =
+        routeOf(std::string_view(place).substr(0, host.size() + n));
+    if (ofHost.valid())
+      return ofHost;
+    if (auto ofAny = routeOf(path.substr(0, n)); ofAny.valid())
+      return ofAny;
   }
   return {};
 }
 
+ServiceHandle CatalogIndex::split(RouteHandle route, uint64_t turn) const {
+  const RouteEntry &entry = at(route);
+  uint64_t total = 0;
+  for (const SplitEntry &it : entry.Splits)
+    total += it.Weight;
+  if (total == 0)
+    return entry.Service;
+  // The upper half of the product is uniform over the weights.
+  uint64_t point = ((turn * GoldenStep) >> 32) * total >> 32;
+  for (const SplitEntry &it : entry.Splits) {
+    if (point < it.Weight)
+      return it.Service;
+    point -= it.Weight;
+  }
+  return entry.Service;
+}
+
 WorkspaceHandle CatalogIndex::workspace(const Digest &key) const {
   auto it = Keys.find(key);
   return it == Keys.end() ? WorkspaceHandle{} : it->second;
--- a/src/catalog_index.h
+++ b/src/catalog_index.h
@@ -31,9 +31,22 @@
   bool Present = false;
 };
 
+/// One part of a route's traffic.
+struct SplitEntry {
+  ServiceHandle Service;
+  uint32_t Weight = 1;
+};
+
 struct RouteEntry {
   Handle<struct PrefixTag> Prefix;
   ServiceHandle Service;
+  /// Empty if `Service` takes all requests.
+  std::vector<SplitEntry> Splits;
+  RequestKind Kind = RequestKind::ByMethod;
+  uint32_t Attempts = 0;
+  uint32_t Priority = 0;
+  Duration Objective{};
+  bool Anonymous = false;
   Duration Timeout{};
   /// Sorted; empty means every workspace.
   std::vector<WorkspaceHandle> Workspaces;
@@ -44,6 +57,7 @@
   uint32_t Weight = 1;
   uint32_t RatePerSecond = 0;
   uint32_t Burst = 0;
+  uint32_t Rank = 0;
   std::vector<Digest> Keys;
   bool Present = false;
 };
@@ -59,9 +73,16 @@
   /// \param version the version that it leads to.
   void apply(const CatalogPatch &patch, uint64_t version);
 
-  /// \returns the route with the longest prefix of \p path that ends at a
-  /// segment border, invalid if there is none.
-  [[nodiscard]] RouteHandle route(std::string_view path) const;
+  /// Finds the route with the longest prefix of \p path that ends at a segment
+  /// border. Routes of \p host go before those of any host.
+  /// \param host in lower case, without a port.
+  /// \returns the route, invalid if there is none.
+  [[nodiscard]] RouteHandle route(std::string_view host,
+                                  std::string_view path) const;
+
+  /// Shares the requests of a split route.
+  /// \param turn number of the request; successive ones spread evenly.
+  [[nodiscard]] ServiceHandle split(RouteHandle route, uint64_t turn) const;
 
   /// \returns the workspace that owns \p key, invalid if there is none.
   [[nodiscard]] WorkspaceHandle workspace(const Digest &key) const;
@@ -111,7 +132,7 @@
     return ZoneNames.name(handle);
   }
 
-  /// \returns the path prefix of a route.
+  /// \returns the path prefix of a route, after its host.
   [[nodiscard]] std::string_view prefix(const RouteEntry &route) const {
     return Prefixes.name(route.Prefix);
   }
@@ -129,6 +150,7 @@
   }
 
 private:
+  [[nodiscard]] RouteHandle routeOf(std::string_view prefix) const;
   void markAllAbsent();
   void acceptService(const ServiceSpec &spec);
   void acceptInstance(ServiceHandle service, const ServiceSpec &owner,
--- a/src/config_chunks.cpp
+++ b/src/config_chunks.cpp
@@ -38,6 +38,9 @@
     add(it.Zone);
     add(uint64_t{it.Slots});
     add(uint64_t{it.Connections});
+    add(it.Started);
+    add(uint64_t{it.Leaving});
+    add(uint64_t{it.Cold});
   }
   void add(const ServiceSpec &it) {
     add(it.Name);
@@ -50,6 +53,18 @@
     add(it.Service);
     add(static_cast<uint64_t>(it.Timeout.count()));
     addAll(it.Workspaces);
+    add(it.Host);
+    add(static_cast<uint64_t>(it.Kind));
+    addAll(it.Splits);
+    add(uint64_t{it.Attempts});
+    add(static_cast<uint64_t>(it.Objective.count()));
+    add(uint64_t{it.Priority});
+    add(uint64_t{it.Anonymous});
+  }
+
+  void add(const SplitSpec &it) {
+    add(it.Service);
+    add(uint64_t{it.Weight});
   }
   void add(const KeySpec &it) {
     add(it.Id);
@@ -61,6 +76,7 @@
     add(uint64_t{it.RatePerSecond});
     add(uint64_t{it.Burst});
     addAll(it.Keys);
+    add(uint64_t{it.Rank});
   }
 
   template <typename Item> void addAll(const std::vector<Item> &items) {
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -289,7 +289,10 @@
   if (Started == Instant::min())
     return false;
   Instant heard = std::max(WatcherHeard, Started);
-  return step.Now - heard >= Times.WatcherSilence + Patience;
+  if (step.Now - heard >= Times.WatcherSilence + Patience)
+    return true;
+  Instant marked = std::max(Marks.markedAt(), Started);
+  return step.Now - marked >= Times.WatchFrom + Patience;
 }
 
 bool ConfigSync::hearsPeers(Instant now) const {
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -28,6 +28,9 @@
   /// Random VMs that are asked besides while the mark is old. A majority that
   /// holds a newer version is then met soon.
   uint32_t RandomAsks = 3;
+  /// A VM whose mark is older reads the store itself: the watchers may have
+  /// lost it.
+  Duration WatchFrom = std::chrono::milliseconds(2000);
   /// False leaves the spreading to the questions; for comparisons.
   bool Push = true;
   /// Watchers of a zone, and the VMs for each further one.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,11 +1,15 @@
 #include "daemon.h"
 
+#include "front_http.h"
+#include "front_plain.h"
+#include "http_refusal.h"
 #include "log.h"
 #include "record_assignment.h"
 #include "reducer_state.h"
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <cstdlib>
 #include <ctime>
 #include <sodium.h>
@@ -41,13 +45,24 @@
   return static_cast<uint64_t>(millis.count()) * (MemberRefutationMask + 1);
 }
 
-/// \returns this VM in the settings' list, or null if it takes no part in a
+/// \returns this VM as others find it; without a port it takes no part in a
 /// fleet.
-const VmSpec *findSelf(const Settings &settings) {
+VmSpec selfOf(const Settings &settings) {
   auto it = std::find_if(
       settings.Vms.begin(), settings.Vms.end(),
       [&](const VmSpec &vm) { return vm.Name == settings.Daemon.Name; });
-  return it == settings.Vms.end() ? nullptr : &*it;
+  if (it != settings.Vms.end())
+    return *it;
+  VmSpec self;
+  if (settings.Fleet.PeerPort == 0)
+    return self;
+  self.Name = settings.Daemon.Name;
+  self.Address = settings.Fleet.Address;
+  self.PeerPort = settings.Fleet.PeerPort;
+  self.Zone = settings.Daemon.Zone;
+  self.Region = settings.Fleet.Region;
+  self.Incarnation = startIncarnation();
+  return self;
 }
 
 /// Appends the key made of the environment variable \p name, if it is set.
@@ -57,7 +72,7 @@
     keys.push_back(makePeerKey(secret));
 }
 
-ReducerInit reducerInit(const Settings &settings) {
+ReducerInit reducerInit(const Settings &settings, const VmSpec &self) {
   ReducerInit init;
   init.Bounds = settings.Bounds;
   init.Name = settings.Daemon.Name;
@@ -67,10 +82,21 @@
   init.Rates.FleetSlots =
       std::max<uint32_t>(1, static_cast<uint32_t>(settings.Vms.size()));
   init.Stored = settings.Store.Port > 0;
-  if (const VmSpec *self = findSelf(settings)) {
-    init.Self = *self;
-    init.Incarnation = startIncarnation();
-  }
+  init.Self = self;
+  if (self.PeerPort > 0)
+    init.Incarnation =
+        self.Incarnation > 0 ? self.Incarnation : startIncarnation();
+  const FleetSettings &fleet = settings.Fleet;
+  init.Fleet = fleet.Mode == "owners" ? FleetKind::Owners : FleetKind::Alone;
+  init.Dispatch.RetryPercent = fleet.RetryPercent;
+  init.Dispatch.RetrySlack = fleet.RetrySlack;
+  init.Dispatch.RetryWindow = fleet.RetryWindow;
+  init.Dispatch.Seed = init.Seed;
+  init.Presence.Enabled = init.Stored && fleet.PeerPort > 0;
+  init.Presence.Lease = fleet.Lease;
+  init.Presence.Seed = init.Seed;
+  init.Withdrawal = fleet.Withdrawal;
+  init.TrustOutage = fleet.TrustOutage;
   return init;
 }
 
@@ -89,7 +115,8 @@
 } // namespace
 
 Daemon::Daemon(const Settings &settings)
-    : Config(settings), Decisions(reducerInit(settings)) {}
+    : Config(settings), Self(selfOf(settings)),
+      Decisions(reducerInit(settings, Self)) {}
 
 Daemon::~Daemon() {
   if (Context)
@@ -98,6 +125,12 @@
     return;
   if (Peers)
     Peers->close();
+  if (Store)
+    Store->close();
+  if (Back)
+    Back->close();
+  if (auto *plain = dynamic_cast<FrontPlain *>(Front.get()))
+    plain->close();
   uv_handle_t *own[] = {reinterpret_cast<uv_handle_t *>(&Timer),
                         reinterpret_cast<uv_handle_t *>(&Prepare),
                         reinterpret_cast<uv_handle_t *>(&Check),
@@ -129,6 +162,25 @@
   uv_signal_start(&Terminate, &Daemon::onSignal, SIGTERM);
   uv_signal_start(&Interrupt, &Daemon::onSignal, SIGINT);
 
+  // A write to a connection that its peer has closed is no reason to end.
+  signal(SIGPIPE, SIG_IGN);
+  if (StartFault fault = startFront(); fault != StartFault::None)
+    return fault;
+  if (StartFault fault = startPeers(); fault != StartFault::None)
+    return fault;
+  if (Config.Store.Port > 0) {
+    Store = std::make_unique<platform::Store>(Loop, Config.Store, Self, *this);
+    post(TimeAdvanced{});
+  } else {
+    post(CatalogAccepted{&Config.Catalog});
+  }
+  assignRecords();
+  drainEvents();
+  return StartFault::None;
+}
+
+/// Starts the HTTP library, which serves callers over TLS.
+bool Daemon::startLibrary() {
   lws_set_log_level(LLL_ERR | LLL_WARN, &logLibrary);
   void *loops[] = {&Loop};
   lws_context_creation_info info{};
@@ -143,34 +195,33 @@
   info.max_http_header_pool = static_cast<unsigned short>(
       std::min(Config.Bounds.CallerConnections, 65535u));
   Context = lws_create_context(&info);
-  if (!Context)
-    return StartFault::LoopFailed;
-  Back = std::make_unique<BackHttp>(Context, Config.Bounds, Exchanges, *this);
-  Front = std::make_unique<FrontHttp>(Context, Config, Exchanges, *Back, *this);
-  Back->listen(*Front);
-  if (!Front->open())
-    return StartFault::ListenFailed;
-  if (StartFault fault = startPeers(); fault != StartFault::None)
-    return fault;
-  if (Config.Store.Port > 0) {
-    Store = std::make_unique<StoreHttp>(Context, Config.Store, *this);
-    post(TimeAdvanced{});
+  return Context != nullptr;
+}
+
+StartFault Daemon::startFront() {
+  Back = std::make_unique<BackHttp>(Loop, Config.Bounds, Config.Headers,
+                                    Exchanges, *this);
+  if (Config.Daemon.TlsCertificate.empty()) {
+    Front = std::make_unique<FrontPlain>(
+        Loop, Config, Exchanges, *Back, static_cast<EventSink &>(*this),
+        [this] { return metricsText(); });
   } else {
-    post(CatalogAccepted{&Config.Catalog});
+    if (!startLibrary())
+      return StartFault::LoopFailed;
+    Front = std::make_unique<FrontHttp>(Context, Config, Exchanges, *Back,
+                                        static_cast<EventSink &>(*this));
   }
-  assignRecords();
-  drainEvents();
-  return StartFault::None;
+  Back->listen(*Front);
+  return Front->open() ? StartFault::None : StartFault::ListenFailed;
 }
 
 StartFault Daemon::startPeers() {
-  const VmSpec *self = findSelf(Config);
-  if (!self)
+  if (Self.PeerPort == 0)
     return StartFault::None;
   PeerTransportInit init;
-  init.ListenAddress = self->Address;
-  init.ListenPort = self->PeerPort;
-  init.SelfName = self->Name;
+  init.ListenAddress = Self.Address;
+  init.ListenPort = Self.PeerPort;
+  init.SelfName = Self.Name;
   addPeerKey(Config.Peers.SecretEnv, init.Keys);
   if (init.Keys.empty())
     return StartFault::PeerSecretMissing;
@@ -285,6 +336,62 @@
           {{"change", id}, {"outcome", Names[effect.Outcome.index()]}});
 }
 void Daemon::on(const AuditAnswered &) {}
+void Daemon::on(const CallPresence &effect) {
+  if (Store)
+    Store->start(effect);
+}
+void Daemon::on(const Decided &effect) {
+  static constexpr std::string_view Names[] = {
+      "request-placed",  "request-queued", "request-repeated",
+      "answer-overdue",  "owner-silent",   "request-answered"};
+  const ReducerState &state = Decisions.state();
+  const Exchange *exchange = Exchanges.find(effect.Request);
+  auto name = [&](auto handle) -> std::string_view {
+    return handle.valid() ? state.Catalog.name(handle) : std::string_view();
+  };
+  auto millis = [](Duration time) {
+    return static_cast<int64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  };
+  std::string_view owner;
+  if (effect.Vm.valid())
+    owner = state.Members.entry(effect.Vm).Name;
+  logLine(LogLevel::Info, Names[static_cast<size_t>(effect.Kind)],
+          {{"request", exchange ? requestId(*exchange) : std::string()},
+           {"service", name(effect.Service)},
+           {"instance", name(effect.Instance)},
+           {"workspace", name(effect.Workspace)},
+           {"owner", owner},
+           {"attempt", static_cast<int64_t>(effect.Attempt)},
+           {"status", static_cast<int64_t>(effect.Status)},
+           {"elapsed_ms", millis(effect.Elapsed)},
+           {"wait_ms", millis(effect.Wait)},
+           {"version", static_cast<int64_t>(effect.Version)}});
+}
+
+std::string Daemon::metricsText() const {
+  std::string text;
+  auto line = [&](std::string_view name, uint64_t value) {
+    text.append("guavasail_").append(name).append(" ");
+    text.append(std::to_string(value)).append("\n");
+  };
+  const ReducerState &state = Decisions.state();
+  line("requests_open", state.Requests.open());
+  line("requests_waiting", state.Dispatch.waiting());
+  line("config_version", state.Catalog.version());
+  if (Store) {
+    line("store_calls", Store->stats().Calls);
+    line("store_failures", Store->stats().Failures);
+  }
+  if (Peers) {
+    line("peer_messages_in", Peers->stats().MessagesIn);
+    line("peer_messages_out", Peers->stats().MessagesOut);
+    line("peer_bytes_in", Peers->stats().BytesIn);
+    line("peer_bytes_out", Peers->stats().BytesOut);
+  }
+  return text;
+}
+
 void Daemon::on(const DrainCompleted &) {
   // Answers may still be on their way to callers.
   Drained = true;
@@ -310,7 +417,6 @@
 void Daemon::onSignal(uv_signal_t *signal, int) {
   Daemon *self = ownerOf(signal);
   logLine(LogLevel::Info, "drain-started", {});
-  self->Front->setServing(ServingState::Draining);
   self->post(DrainRequested{});
 }
 
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -6,17 +6,19 @@
 #include "back_http.h"
 #include "event_sink.h"
 #include "exchange.h"
-#include "front_http.h"
+#include "front_end.h"
 #include "guavasail/reducer.h"
 #include "guavasail/settings.h"
 #include "peer_transport_uv.h"
-#include "store_http.h"
+#include "store.h"
 
 #include <cstdint>
 #include <deque>
 #include <memory>
 #include <uv.h>
 
+struct lws_context;
+
 namespace guavasail {
 
 /// Why a daemon could not start.
@@ -53,6 +55,9 @@
   void armTimer();
   void stopLoop();
   StartFault startPeers();
+  StartFault startFront();
+  bool startLibrary();
+  std::string metricsText() const;
 
   void on(const StartAttempt &effect);
   void on(const CancelAttempt &effect);
@@ -70,6 +75,8 @@
   void on(const ChangeConcluded &effect);
   void on(const AuditAnswered &effect);
   void on(const DrainCompleted &effect);
+  void on(const Decided &effect);
+  void on(const CallPresence &effect);
 
   static void onTimer(uv_timer_t *timer);
   static void onPrepare(uv_prepare_t *prepare);
@@ -77,6 +84,7 @@
   static void onSignal(uv_signal_t *signal, int number);
 
   const Settings &Config;
+  VmSpec Self;
   uv_loop_t Loop{};
   bool LoopOpen = false;
   uv_timer_t Timer{};
@@ -91,8 +99,8 @@
   std::vector<RecordAssignment> Assignments;
   ExchangeTable Exchanges;
   std::unique_ptr<BackHttp> Back;
-  std::unique_ptr<StoreHttp> Store;
-  std::unique_ptr<FrontHttp> Front;
+  std::unique_ptr<platform::Store> Store;
+  std::unique_ptr<FrontEnd> Front;
   std::unique_ptr<PeerTransport> Peers;
   Instant Armed = NeverInstant;
   /// The decisions have nothing in progress and take no new request.
--- /dev/null
+++ b/src/dispatch_pool.cpp
@@ -0,0 +1,285 @@
+#include "dispatch_pool.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+
+namespace guavasail {
+
+namespace {
+
+/// Weight of the newest answer in the usual time of answers.
+constexpr double TypicalWeight = 0.05;
+/// Longest answer that counts in full, in usual times.
+constexpr int TypicalCut = 4;
+constexpr Duration LeastTypical = std::chrono::milliseconds(5);
+/// A slot is kept this long after its request's deadline.
+constexpr Duration ExpiryMargin = std::chrono::milliseconds(500);
+/// Age at which an instance's own report of its load no longer counts.
+constexpr Duration ReportLife = std::chrono::milliseconds(800);
+/// An instance that refused for lack of room gets nothing for this time.
+constexpr Duration FullPause = std::chrono::milliseconds(250);
+/// Time for which a VM's idle connection to an instance may be expected.
+constexpr Duration WarmTime = std::chrono::seconds(8);
+/// Share of the instances that stay in use whatever their failures, in
+/// percent, rounded up.
+constexpr size_t KeptPercent = 65;
+
+/// Costs in units of a full instance's load.
+constexpr double FarCost = 0.15;
+constexpr double FarLargeCost = 0.8;
+constexpr double ColdConnectionCost = 0.08;
+constexpr double ColdInstanceCost = 0.35;
+constexpr double BadnessCost = 1.5;
+constexpr double SlownessCost = 0.6;
+constexpr double AvoidCost = 3;
+constexpr double HeldCost = 2;
+/// The last slot of an instance slows down the others.
+constexpr double NearlyFullCost = 0.25;
+constexpr double NearlyFullLoad = 0.8;
+
+/// Answers are overdue after this many usual times.
+constexpr int OverdueFactor = 3;
+constexpr Duration LeastOverdue = std::chrono::milliseconds(700);
+
+Duration scaled(Duration time, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+} // namespace
+
+const DispatchPool::Strategy DispatchPool::Strategies[] = {
+    {PlacementKind::Random, "random", &DispatchPool::chooseRandom},
+    {PlacementKind::LeastLoaded, "least-loaded",
+     &DispatchPool::chooseLeastLoaded},
+    {PlacementKind::Weighed, "weighed", &DispatchPool::chooseWeighed},
+};
+
+void DispatchPool::acceptCatalog(const CatalogIndex &catalog,
+                                 ServiceHandle service) {
+  for (Seat &seat : Seats)
+    seat.Present = false;
+  for (InstanceHandle it : catalog.at(service).Instances) {
+    const InstanceEntry &entry = catalog.at(it);
+    uint64_t key = rendezvousKey(catalog.name(it), 0);
+    Seat *seat = find(key);
+    bool reborn = seat && seat->Started != entry.Spec.Started;
+    if (!seat)
+      seat = &Seats.emplace_back();
+    else if (reborn)
+      *seat = Seat{};
+    seat->Instance = it;
+    seat->Key = key;
+    seat->Zone = entry.Zone;
+    seat->Slots = std::max(entry.Spec.Slots, 1U);
+    seat->Started = entry.Spec.Started;
+    seat->Present = true;
+    seat->Leaving = entry.Spec.Leaving;
+    seat->Cold = entry.Spec.Cold;
+  }
+  std::erase_if(Seats, [](const Seat &it) {
+    return !it.Present && it.Grants.empty();
+  });
+}
+
+Seat *DispatchPool::find(uint64_t key) {
+  auto it = std::find_if(Seats.begin(), Seats.end(),
+                         [&](const Seat &seat) { return seat.Key == key; });
+  return it == Seats.end() ? nullptr : &*it;
+}
+
+uint32_t DispatchPool::room(const Seat &seat) {
+  uint32_t slots = seat.Cold ? std::max(seat.Slots / 2, 1U) : seat.Slots;
+  auto used = static_cast<uint32_t>(seat.Grants.size());
+  return slots > used ? slots - used : 0;
+}
+
+/// \returns the part of the slots that are in use, above 1 if requests wait.
+double DispatchPool::load(const Seat &seat, Instant now) const {
+  double used = static_cast<double>(seat.Grants.size());
+  if (now - seat.ReportedAt < ReportLife)
+    used = std::max(used, static_cast<double>(seat.Reported));
+  return used / seat.Slots;
+}
+
+/// \returns true if the instance stays in use although it fails, because too
+/// many others fail more.
+bool DispatchPool::heldIn(const Seat &seat, Instant now) const {
+  size_t present = 0;
+  size_t worse = 0;
+  double own = seat.Health.badness(now);
+  for (const Seat &it : Seats) {
+    if (!it.Present || it.Leaving)
+      continue;
+    ++present;
+    bool out = &it != &seat && it.Health.state(now) == SeatState::Ejected;
+    worse += out && it.Health.badness(now) >= own ? 1 : 0;
+  }
+  constexpr size_t Hundred = 100;
+  size_t kept = (present * KeptPercent + Hundred - 1) / Hundred;
+  return worse >= present - std::min(kept, present);
+}
+
+bool DispatchPool::usable(const Seat &seat, const PlaceInput &input,
+                          Instant now) const {
+  if (!seat.Present || seat.Leaving || room(seat) == 0 || now < seat.FullUntil)
+    return false;
+  if (seat.Health.pathBroken(input.Vm, now))
+    return false;
+  switch (seat.Health.state(now)) {
+  case SeatState::Sound:
+    return true;
+  case SeatState::Trial: {
+    bool careful = !input.Idempotent && !seat.Health.openTrial(now);
+    return seat.Grants.empty() && (!careful || input.Pressed);
+  }
+  case SeatState::Ejected:
+    break;
+  }
+  return heldIn(seat, now);
+}
+
+void DispatchPool::collect(const PlaceInput &input, Instant now) {
+  Candidates.clear();
+  for (Seat &seat : Seats)
+    if (usable(seat, input, now))
+      Candidates.push_back(&seat);
+  if (Candidates.size() > 1)
+    std::erase_if(Candidates,
+                  [&](const Seat *it) { return it->Key == input.Avoid; });
+}
+
+Seat *DispatchPool::choose(const PlaceInput &input, Instant now) {
+  collect(input, now);
+  if (Candidates.empty())
+    return nullptr;
+  const Strategy &strategy = Strategies[static_cast<size_t>(Placement)];
+  return (this->*strategy.Pick)(input, now);
+}
+
+Seat *DispatchPool::chooseRandom(const PlaceInput &, Instant) {
+  return Candidates[Random() % Candidates.size()];
+}
+
+Seat *DispatchPool::chooseLeastLoaded(const PlaceInput &, Instant now) {
+  return *std::min_element(Candidates.begin(), Candidates.end(),
+                           [&](const Seat *a, const Seat *b) {
+                             return load(*a, now) < load(*b, now);
+                           });
+}
+
+double DispatchPool::cost(const Seat &seat, const PlaceInput &input,
+                          Instant now) const {
+  double used = load(seat, now);
+  double sum = used + 1.0 / seat.Slots;
+  if (sum > NearlyFullLoad)
+    sum += NearlyFullCost;
+  if (seat.Zone != input.Zone)
+    sum += input.Large ? FarLargeCost : FarCost;
+  bool warm = std::any_of(seat.Warm.begin(), seat.Warm.end(), [&](auto &it) {
+    return it.first == input.Vm && now - it.second < WarmTime;
+  });
+  sum += warm ? 0 : ColdConnectionCost;
+  sum += seat.Cold ? ColdInstanceCost : 0;
+  sum += seat.Health.badness(now) * BadnessCost;
+  sum += (seat.Health.slowness(now) - 1) * SlownessCost;
+  sum += seat.Key == input.Avoid ? AvoidCost : 0;
+  if (seat.Health.state(now) == SeatState::Ejected)
+    sum += HeldCost;
+  return sum;
+}
+
+Seat *DispatchPool::chooseWeighed(const PlaceInput &input, Instant now) {
+  // A random start decides among equals.
+  size_t start = Random() % Candidates.size();
+  Seat *best = nullptr;
+  double least = 0;
+  for (size_t n = 0; n < Candidates.size(); ++n) {
+    Seat *it = Candidates[(start + n) % Candidates.size()];
+    // A trial has to be made, or the instance would never come back.
+    bool trial = it->Health.state(now) == SeatState::Trial && input.Idempotent;
+    double price = trial ? 0 : cost(*it, input, now);
+    if (best && price >= least)
+      continue;
+    best = it;
+    least = price;
+  }
+  return best;
+}
+
+void DispatchPool::take(Seat &seat, const SlotGrant &grant) {
+  seat.Grants.push_back(grant);
+  std::erase_if(seat.Warm, [&](const auto &it) {
+    return it.first == grant.Vm || grant.Given - it.second >= WarmTime;
+  });
+  seat.Warm.emplace_back(grant.Vm, grant.Given);
+}
+
+bool DispatchPool::release(VmHandle vm, const PlaceDone &done, Instant now) {
+  Seat *seat = find(done.Instance);
+  if (!seat)
+    return false;
+  size_t freed = std::erase_if(seat->Grants, [&](const SlotGrant &it) {
+    return it.Vm == vm && it.Request == done.Request &&
+           it.Ordinal == done.Ordinal;
+  });
+  seat->Health.note(done.Outcome, vm, done.Took, Typical, now);
+  if (done.Outcome == PlaceOutcome::Ok) {
+    Duration counted = std::min(done.Took, Typical * TypicalCut);
+    Typical = std::max(
+        LeastTypical, scaled(Typical, 1 - TypicalWeight) +
+                          scaled(counted, TypicalWeight));
+  }
+  if (done.Outcome == PlaceOutcome::Shed)
+    seat->FullUntil = now + FullPause;
+  if (done.LoadKnown) {
+    seat->Reported = done.Running + done.Waiting;
+    seat->ReportedAt = now;
+  }
+  return freed > 0;
+}
+
+void DispatchPool::dropVm(VmHandle vm) {
+  for (Seat &seat : Seats)
+    std::erase_if(seat.Grants,
+                  [&](const SlotGrant &it) { return it.Vm == vm; });
+}
+
+void DispatchPool::advance(Instant now) {
+  Duration overdue = std::max(Typical * OverdueFactor, LeastOverdue);
+  for (Seat &seat : Seats) {
+    std::erase_if(seat.Grants, [&](const SlotGrant &it) {
+      return it.Expires + ExpiryMargin <= now;
+    });
+    for (SlotGrant &it : seat.Grants) {
+      if (it.Overdue || now - it.Given < overdue)
+        continue;
+      it.Overdue = true;
+      seat.Health.noteOverdue(it.Vm, now);
+    }
+  }
+}
+
+uint32_t DispatchPool::capacity(Instant now) const {
+  uint32_t slots = 0;
+  for (const Seat &it : Seats)
+    if (it.Present && !it.Leaving && it.Health.state(now) == SeatState::Sound)
+      slots += it.Cold ? std::max(it.Slots / 2, 1U) : it.Slots;
+  return std::max(slots, 1U);
+}
+
+Duration DispatchPool::patience(Duration useful) const {
+  // Late enough not to repeat what would come, early enough for the repeat to
+  // meet the objective.
+  Duration early = scaled(Typical, 1.8);
+  Duration late = scaled(Typical, 2.5);
+  return std::min(late, std::max(early, useful - scaled(Typical, 1.2)));
+}
+
+bool DispatchPool::busy() const {
+  return std::any_of(Seats.begin(), Seats.end(),
+                     [](const Seat &it) { return !it.Grants.empty(); });
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/src/dispatcher.cpp
@@ -0,0 +1,227 @@
+#include "dispatcher.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+
+namespace guavasail {
+
+namespace {
+
+/// Time between two looks at waiting requests and slots in use.
+constexpr Duration CheckPeriod = std::chrono::milliseconds(150);
+
+/// Instances in a row that a request may lose before it is refused.
+constexpr uint32_t MostCrashes = 3;
+/// Time for which losses of one request are added up.
+constexpr Duration CrashWindow = std::chrono::seconds(30);
+/// Time for which such a request is refused after the last loss.
+constexpr Duration CrashHold = std::chrono::seconds(20);
+constexpr size_t MostCrashEntries = 128;
+/// A refused caller's return is moved by up to this part, in percent.
+constexpr int64_t RetryJitterPercent = 40;
+
+} // namespace
+
+void CrashList::note(uint64_t fingerprint, uint64_t instance,
+                     PlaceOutcome outcome, Instant now) {
+  bool lost = outcome == PlaceOutcome::Fault;
+  bool ended = outcome == PlaceOutcome::Ok || outcome == PlaceOutcome::Error;
+  if (fingerprint == 0 || (!lost && !ended))
+    return;
+  std::erase_if(Entries, [&](const Entry &it) {
+    return now - it.Last > CrashWindow ||
+           (ended && it.Fingerprint == fingerprint);
+  });
+  if (ended)
+    return;
+  auto it = std::find_if(
+      Entries.begin(), Entries.end(),
+      [&](const Entry &item) { return item.Fingerprint == fingerprint; });
+  if (it == Entries.end()) {
+    if (Entries.size() >= MostCrashEntries)
+      Entries.erase(Entries.begin());
+    it = Entries.insert(Entries.end(), Entry{fingerprint, 0, 0, now});
+  }
+  it->Crashes += it->LastInstance == instance ? 0 : 1;
+  it->LastInstance = instance;
+  it->Last = now;
+}
+
+Duration CrashList::held(uint64_t fingerprint, Instant now) const {
+  for (const Entry &it : Entries)
+    if (it.Fingerprint == fingerprint && it.Crashes >= MostCrashes)
+      return std::max(it.Last + CrashHold - now, Duration::zero());
+  return {};
+}
+
+Dispatcher::Dispatcher(const DispatchInit &init)
+    : Init(init), Random(init.Seed) {}
+
+void Dispatcher::acceptCatalog(const CatalogIndex &catalog, Instant now) {
+  for (uint32_t n = 0; n < catalog.services().size(); ++n) {
+    ServiceHandle handle{n};
+    uint64_t key = rendezvousKey(catalog.name(handle), 0);
+    if (!find(key))
+      Services.emplace_back(Init, key);
+    Service &service = *find(key);
+    service.Pool.acceptCatalog(catalog, handle);
+    serve(service, now);
+  }
+}
+
+Dispatcher::Service *Dispatcher::find(uint64_t key) {
+  auto it = std::find_if(Services.begin(), Services.end(),
+                         [&](const Service &item) { return item.Key == key; });
+  return it == Services.end() ? nullptr : &*it;
+}
+
+QueueLoad Dispatcher::loadOf(const Service &service, Instant now) const {
+  return {service.Pool.typical(), service.Pool.capacity(now)};
+}
+
+void Dispatcher::reply(VmHandle to, const PlaceAsk &ask, PlaceVerdict verdict,
+                       Duration retry) {
+  Out.push_back({to, {ask.Request, ask.Ordinal, verdict, 0, retry, {}}});
+}
+
+void Dispatcher::onAsk(VmHandle from, ZoneHandle zone, const PlaceAsk &ask,
+                       Instant now) {
+  Service *service = find(ask.Service);
+  if (!service)
+    return reply(from, ask, PlaceVerdict::NotOwner);
+  if (service->Queue.find(from, ask.Request, ask.Ordinal))
+    return reply(from, ask, PlaceVerdict::Queued);
+  Duration held = service->Crashes.held(ask.Fingerprint, now);
+  if (held > Duration::zero())
+    return reply(from, ask, PlaceVerdict::Quarantined, held);
+  if (ask.Repeat && !service->Budget.takeRepeat(now))
+    return reply(from, ask, PlaceVerdict::BudgetSpent);
+  if (ask.Ordinal == 1)
+    service->Budget.noteRequest(now);
+  QueueEntry entry;
+  entry.Vm = from;
+  entry.Zone = zone;
+  entry.Ask = ask;
+  entry.Arrived = now;
+  entry.UsefulUntil = now + ask.Useful;
+  entry.Deadline = now + ask.Remaining;
+  if (service->Queue.empty() && grant(*service, entry, false, now))
+    return check(now);
+  if (auto retry = service->Queue.refusal(entry, loadOf(*service, now), now))
+    return turnAway(entry, *retry);
+  service->Queue.push(entry);
+  size_t before = Out.size();
+  serve(*service, now);
+  bool answered =
+      std::any_of(Out.begin() + static_cast<int64_t>(before), Out.end(),
+                  [&](const PlaceOutput &it) {
+                    return it.To == from && it.Reply.Request == ask.Request;
+                  });
+  if (!answered)
+    reply(from, ask, PlaceVerdict::Queued);
+  check(now);
+}
+
+bool Dispatcher::grant(Service &service, const QueueEntry &entry, bool pressed,
+                       Instant now) {
+  const PlaceAsk &ask = entry.Ask;
+  Seat *seat = service.Pool.choose({entry.Vm, entry.Zone, ask.Avoid,
+                                    ask.Idempotent, ask.Large, pressed},
+                                   now);
+  if (!seat)
+    return false;
+  DispatchPool::take(*seat, {entry.Vm, ask.Request, ask.Ordinal, now,
+                             entry.Deadline, false});
+  Duration useful = std::max(entry.UsefulUntil - now, Duration::zero());
+  Out.push_back({entry.Vm,
+                 {ask.Request, ask.Ordinal, PlaceVerdict::Granted, seat->Key,
+                  {}, service.Pool.patience(useful)}});
+  return true;
+}
+
+/// Gives free slots to waiting requests.
+void Dispatcher::serve(Service &service, Instant now) {
+  QueueLoad load = loadOf(service, now);
+  while (auto entry = service.Queue.takeHopeless(load, now))
+    turnAway(*entry, load.Typical);
+  bool served = true;
+  while (served && !service.Queue.empty()) {
+    served = false;
+    for (uint32_t index : service.Queue.order(load, now)) {
+      if (!grant(service, service.Queue.at(index), true, now))
+        continue;
+      service.Queue.take(index, now);
+      served = true;
+      break;
+    }
+  }
+}
+
+void Dispatcher::turnAway(const QueueEntry &entry, Duration retry) {
+  auto spread = static_cast<int64_t>(Random() % RetryJitterPercent);
+  reply(entry.Vm, entry.Ask, PlaceVerdict::Overloaded,
+        retry + retry * spread / 100);
+}
+
+void Dispatcher::onDone(VmHandle from, const PlaceDone &done, Instant now) {
+  Service *service = find(done.Service);
+  if (!service)
+    return;
+  service->Queue.remove(from, done.Request, done.Ordinal);
+  service->Crashes.note(done.Fingerprint, done.Instance, done.Outcome, now);
+  service->Pool.release(from, done, now);
+  serve(*service, now);
+}
+
+void Dispatcher::observe(VmHandle self, const PlaceDone &done, Instant now) {
+  if (Service *service = find(done.Service)) {
+    service->Crashes.note(done.Fingerprint, done.Instance, done.Outcome, now);
+    service->Pool.release(self, done, now);
+  }
+}
+
+void Dispatcher::dropVm(VmHandle vm, Instant now) {
+  for (Service &it : Services) {
+    it.Pool.dropVm(vm);
+    it.Queue.dropVm(vm);
+    serve(it, now);
+  }
+}
+
+void Dispatcher::resign() {
+  for (Service &it : Services)
+    while (!it.Queue.empty()) {
+      const QueueEntry &entry = it.Queue.at(0);
+      reply(entry.Vm, entry.Ask, PlaceVerdict::NotOwner);
+      it.Queue.remove(entry.Vm, entry.Ask.Request, entry.Ask.Ordinal);
+    }
+}
+
+void Dispatcher::check(Instant now) {
+  if (NextCheck == NeverInstant)
+    NextCheck = now + CheckPeriod;
+}
+
+void Dispatcher::advance(Instant now) {
+  if (now < NextCheck)
+    return;
+  NextCheck = NeverInstant;
+  bool busy = false;
+  for (Service &it : Services) {
+    it.Pool.advance(now);
+    serve(it, now);
+    busy |= !it.Queue.empty() || it.Pool.busy();
+  }
+  if (busy)
+    check(now);
+}
+
+size_t Dispatcher::waiting() const {
+  size_t n = 0;
+  for (const Service &it : Services)
+    n += it.Queue.size();
+  return n;
+}
+
+} // namespace guavasail
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -17,8 +17,6 @@
 #include <string_view>
 #include <vector>
 
-struct lws;
-
 namespace guavasail {
 
 /// One header line. The name ends with a colon.
@@ -67,11 +65,14 @@
 /// One attempt's call to a backend server.
 struct BackendCall {
   AttemptHandle Attempt;
-  struct lws *Wsi = nullptr;
+  /// Connection of the back end; null once the call ended.
+  void *Connection = nullptr;
   AnswerHead Head;
   ByteQueue Answer;
   /// Time left for the request when the attempt was started.
   std::chrono::milliseconds Remaining{};
+  /// Name of the caller's workspace, empty if it has none.
+  std::string Workspace;
   /// Copy of a short body, for `Exchange::KeepAnswer`.
   std::string Kept;
   /// Body bytes of the answer received so far.
@@ -89,16 +90,25 @@
 struct Exchange {
   RequestHandle Handle;
   bool InUse = false;
-  /// The caller's connection or stream; null once it is gone.
-  struct lws *Caller = nullptr;
+  /// Connection or stream of the front end; null once the caller is gone.
+  void *Caller = nullptr;
+  /// The caller's own name for the request, empty if it gave none.
+  std::string CallerId;
 
   std::string Method;
   std::string Path;
   /// Path and query as sent to the backend server, without the key.
   std::string Target;
   std::string Host;
+  /// Host without its port, in lower case.
+  std::string HostName;
   std::vector<HeaderField> Fields;
+  /// Declared length of the body; of a chunked one, the bytes received so far.
   uint64_t BodyBytes = 0;
+  /// The body came in chunks and its length was not declared.
+  bool BodyChunked = false;
+  /// The whole request was read.
+  bool RequestWhole = false;
   /// The method allows a body, or the caller sent one.
   bool MayHaveBody = false;
   /// Received part of the body, from byte `BodyBase` on.
@@ -124,7 +134,7 @@
   bool AnswerWhole = false;
   bool AnswerChunked = false;
   RefusalKind Refusal = RefusalKind::NoInstance;
-  uint32_t RetryAfterSeconds = 0;
+  Duration RetryAfter{};
   std::vector<std::unique_ptr<BackendCall>> Calls;
   BackendCall *Source = nullptr;
 
@@ -140,6 +150,11 @@
   [[nodiscard]] uint64_t receivedBytes() const {
     return BodyBase + Body.size();
   }
+
+  /// \returns true if nothing of the request is left to read.
+  [[nodiscard]] bool bodyRead() const {
+    return BodyChunked ? RequestWhole : receivedBytes() >= BodyBytes;
+  }
 };
 
 /// Exchanges by handle. Entries stay in place and are used again.
--- a/src/freshness.h
+++ b/src/freshness.h
@@ -21,6 +21,9 @@
   /// A watcher that fails to reach the store says so from this age of its
   /// mark on.
   Duration AttestFrom = std::chrono::milliseconds(2000);
+  /// Statements of watchers that the store is away count. They must not where
+  /// the store may serve operators while it turns all watchers away.
+  bool TrustOutage = true;
 
   /// \returns the age at which a mark or a statement no longer counts.
   [[nodiscard]] Duration limit() const { return Withdrawal - Margin; }
--- /dev/null
+++ b/src/front_end.h
@@ -0,0 +1,71 @@
+/// \file
+/// What the process shell asks of a front end.
+#ifndef GUAVASAIL_SRC_FRONT_END_H
+#define GUAVASAIL_SRC_FRONT_END_H
+
+#include "exchange.h"
+#include "guavasail/effect.h"
+
+#include <string_view>
+
+namespace guavasail {
+
+/// What the balancer in front of the VMs is told.
+enum class ServingState : uint8_t {
+  /// There is no configuration yet.
+  Starting,
+  Ready,
+  /// The configuration cannot be confirmed, so requests with keys are refused.
+  Unconfirmed,
+  Draining,
+};
+
+/// \returns the stable name of \p state.
+std::string_view servingStateName(ServingState state);
+
+/// Told when a call's answer has more bytes.
+class AnswerListener {
+public:
+  virtual void answerGrew(Exchange &exchange) = 0;
+  /// More room for the request's body is available.
+  virtual void bodyDrained(Exchange &exchange) = 0;
+  /// An attempt starts and will need the request's body.
+  virtual void bodyWanted(Exchange &exchange) = 0;
+
+protected:
+  ~AnswerListener() = default;
+};
+
+/// Reads callers' requests and writes their answers.
+class FrontEnd : public AnswerListener {
+public:
+  virtual ~FrontEnd() = default;
+
+  /// Opens the listening sockets.
+  /// \returns false if an address cannot be used.
+  virtual bool open() = 0;
+
+  /// Sets what the health endpoints say.
+  /// \param reason why the VM is not ready, empty if it is.
+  void setServing(ServingState state, std::string_view reason = {}) {
+    Serving = state;
+    ServingReason = reason;
+  }
+
+  /// \returns true while an answer's last bytes are on their way.
+  [[nodiscard]] virtual bool ending() const = 0;
+
+  virtual void relay(const RelayAnswer &effect) = 0;
+  virtual void finish(const FinishAnswer &effect) = 0;
+  virtual void abort(const AbortAnswer &effect) = 0;
+  virtual void refuse(const RefuseRequest &effect) = 0;
+  virtual void replay(const ReplayAnswer &effect) = 0;
+
+protected:
+  ServingState Serving = ServingState::Starting;
+  std::string_view ServingReason;
+};
+
+} // namespace guavasail
+
+#endif
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -1,9 +1,9 @@
 #include "front_http.h"
 
-#include "answer_blob.h"
 #include "http_headers.h"
 #include "http_refusal.h"
 #include "http_request.h"
+#include "request_head.h"
 #include "log.h"
 
 #include <algorithm>
@@ -22,34 +22,12 @@
 constexpr size_t BodyBufferBytes = 128 * 1024;
 constexpr std::string_view HealthPrefix = "/-/";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr uint32_t FirstErrorStatus = 500;
 
 const lws_protocols FrontProtocols[] = {
     {"http", &FrontHttp::callback, 0, 0, 0, nullptr, 0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 };
 
-/// A health endpoint, and the states in which it answers that all is well.
-struct HealthRow {
-  std::string_view Path;
-  std::span<const ServingState> Good;
-};
-
-constexpr ServingState AllStates[] = {
-    ServingState::Starting, ServingState::Ready, ServingState::Unconfirmed,
-    ServingState::Draining};
-constexpr ServingState ReadyState[] = {ServingState::Ready};
-constexpr ServingState DrainingState[] = {ServingState::Draining};
-
-constexpr auto HealthRows = std::to_array<HealthRow>({
-    {"/-/alive", AllStates},
-    {"/-/ready", ReadyState},
-    {"/-/draining", DrainingState},
-});
-
-constexpr auto StateNames = std::to_array<std::string_view>(
-    {"starting", "ready", "unconfirmed", "draining"});
-
 /// Marks a connection that only has to send what is left.
 void *const EndingMark =
     reinterpret_cast<void *>(std::numeric_limits<uintptr_t>::max());
@@ -96,6 +74,10 @@
   unsigned char *At = Buffer.data() + LWS_PRE;
 };
 
+lws *callerOf(const Exchange &exchange) {
+  return static_cast<lws *>(exchange.Caller);
+}
+
 bool isHttp2(lws *wsi) { return lws_get_network_wsi(wsi) != wsi; }
 
 /// Sends body bytes, the last ones with \p mode `LWS_WRITE_HTTP_FINAL`.
@@ -105,20 +87,6 @@
   return lws_write(wsi, buf.data() + LWS_PRE, bytes.size(), mode) >= 0;
 }
 
-/// \returns \p bytes as an HTTP/1.1 chunk, with the last chunk if \p last.
-std::string frameChunk(std::string_view bytes, bool last) {
-  std::array<char, ChunkFrameBytes> size{};
-  std::string out;
-  if (!bytes.empty()) {
-    int n = lws_snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    out.append(size.data(), static_cast<size_t>(n));
-    out.append(bytes).append("\r\n");
-  }
-  if (last)
-    out.append("0\r\n\r\n");
-  return out;
-}
-
 } // namespace
 
 const FrontHttp::Row FrontHttp::Rows[] = {
@@ -202,7 +170,7 @@
 
 void FrontHttp::wantWrite(Exchange &exchange) {
   if (exchange.Caller)
-    lws_callback_on_writable(exchange.Caller);
+    lws_callback_on_writable(callerOf(exchange));
 }
 
 int FrontHttp::onRequest(lws *wsi, std::string_view path) {
@@ -243,15 +211,8 @@
 }
 
 int FrontHttp::answerHealth(lws *wsi, std::string_view path) {
-  uint32_t status = HTTP_STATUS_NOT_FOUND;
-  for (const HealthRow &row : HealthRows) {
-    if (row.Path != path)
-      continue;
-    bool good =
-        std::find(row.Good.begin(), row.Good.end(), Serving) != row.Good.end();
-    status = good ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE;
-  }
-  std::string text(StateNames[static_cast<size_t>(Serving)]);
+  uint32_t status = healthStatus(path, Serving);
+  std::string text(servingStateName(Serving));
   if (!ServingReason.empty())
     text.append(": ").append(ServingReason);
   HeadWriter head(wsi);
@@ -296,20 +257,20 @@
   if (!resume)
     return;
   exchange.BodyPaused = false;
-  lws_rx_flow_control(exchange.Caller, 1);
+  lws_rx_flow_control(callerOf(exchange), 1);
   if (exchange.receivedBytes() < exchange.BodyBytes)
-    expectProgress(exchange.Caller);
+    expectProgress(callerOf(exchange));
 }
 
 void FrontHttp::bodyWanted(Exchange &exchange) {
   if (!exchange.ExpectsContinue || !exchange.Caller)
     return;
   exchange.ExpectsContinue = false;
-  if (isHttp2(exchange.Caller))
+  if (isHttp2(callerOf(exchange)))
     return;
   std::array<unsigned char, LWS_PRE + ContinueLine.size()> buf;
   std::copy(ContinueLine.begin(), ContinueLine.end(), buf.data() + LWS_PRE);
-  lws_write(exchange.Caller, buf.data() + LWS_PRE, ContinueLine.size(),
+  lws_write(callerOf(exchange), buf.data() + LWS_PRE, ContinueLine.size(),
             LWS_WRITE_HTTP_HEADERS);
 }
 
@@ -353,25 +314,15 @@
   if (!exchange)
     return;
   exchange->Refusal = effect.Kind;
-  exchange->RetryAfterSeconds = static_cast<uint32_t>(
-      std::chrono::ceil<std::chrono::seconds>(effect.RetryAfter).count());
+  exchange->RetryAfter = effect.RetryAfter;
   exchange->Stage = AnswerStage::Refusal;
   wantWrite(*exchange);
 }
 
 void FrontHttp::replay(const ReplayAnswer &effect) {
   Exchange *exchange = Exchanges.find(effect.Request);
-  auto kept = decodeAnswer(effect.Answer);
-  if (!exchange || !kept)
+  if (!exchange || !takeKeptAnswer(*exchange, effect.Answer))
     return refuse({effect.Request, RefusalKind::AnswerNotKept, {}});
-  BackendCall &call =
-      *exchange->Calls.emplace_back(std::make_unique<BackendCall>());
-  call.Head = std::move(kept->Head);
-  call.Head.Fields.push_back({std::string(ReplayedHeader), "true"});
-  call.Answer.append(kept->Body);
-  exchange->Source = &call;
-  exchange->AnswerWhole = true;
-  exchange->Stage = AnswerStage::Head;
   wantWrite(*exchange);
 }
 
@@ -401,7 +352,7 @@
 
 int FrontHttp::writeHead(Exchange &exchange) {
   const AnswerHead &answer = exchange.Source->Head;
-  lws *wsi = exchange.Caller;
+  lws *wsi = callerOf(exchange);
   HeadWriter head(wsi);
   bool ok = head.status(answer.Status) && head.fields(answer.Fields);
   bool bodyless =
@@ -433,14 +384,14 @@
     return 0;
   lws_write_protocol mode = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
   bool sent = exchange.AnswerChunked
-                  ? sendBody(exchange.Caller, frameChunk(part, last), mode)
-                  : sendBody(exchange.Caller, part, mode);
+                  ? sendBody(callerOf(exchange), frameChunk(part, last), mode)
+                  : sendBody(callerOf(exchange), part, mode);
   if (!sent)
     return -1;
   call.Answer.consume(part.size());
   if (last)
     return endTransaction(exchange, !exchange.OldCaller);
-  expectProgress(exchange.Caller);
+  expectProgress(callerOf(exchange));
   Back.resume(call);
   if (!call.Answer.unread().empty() || exchange.AnswerWhole)
     wantWrite(exchange);
@@ -452,42 +403,39 @@
   // broken one from a whole one.
   linger abort{1, 0};
   if (exchange.OldCaller)
-    setsockopt(lws_get_socket_fd(exchange.Caller), SOL_SOCKET, SO_LINGER,
+    setsockopt(lws_get_socket_fd(callerOf(exchange)), SOL_SOCKET, SO_LINGER,
                &abort, sizeof(abort));
   return -1;
 }
 
 int FrontHttp::writeRefusal(Exchange &exchange) {
   uint32_t status = refusalStatus(exchange.Refusal);
-  std::string text = problemDocument(exchange.Refusal, exchange.Handle);
-  logLine(status >= FirstErrorStatus ? LogLevel::Warning : LogLevel::Info,
-          "request-refused",
-          {{"request", requestId(exchange.Handle)},
-           {"refusal", refusalSpec(exchange.Refusal).Name}});
+  std::string text = problemDocument(exchange.Refusal, requestId(exchange));
+  logRefusal(exchange);
   bool reuse = !exchange.FramingInDoubt && !exchange.OldCaller &&
                Serving != ServingState::Draining &&
                exchange.receivedBytes() >= exchange.BodyBytes;
-  HeadWriter head(exchange.Caller);
+  HeadWriter head(callerOf(exchange));
   bool ok = head.status(status) &&
             head.field("content-type:", "application/problem+json") &&
             head.length(text.size());
-  if (exchange.RetryAfterSeconds > 0)
+  if (exchange.RetryAfter > Duration::zero())
     ok = ok &&
-         head.field("retry-after:", std::to_string(exchange.RetryAfterSeconds));
-  if (!reuse && !isHttp2(exchange.Caller))
+         head.field("retry-after:", retryAfterText(exchange.RetryAfter, false));
+  if (!reuse && !isHttp2(callerOf(exchange)))
     ok = ok && head.field("connection:", "close");
   std::string_view body = text;
   if (exchange.Method == "HEAD")
     body = {};
   ok = ok && head.send() &&
-       sendBody(exchange.Caller, body, LWS_WRITE_HTTP_FINAL);
+       sendBody(callerOf(exchange), body, LWS_WRITE_HTTP_FINAL);
   if (!ok)
     return -1;
   return endTransaction(exchange, reuse);
 }
 
 int FrontHttp::endTransaction(Exchange &exchange, bool reuse) {
-  lws *wsi = exchange.Caller;
+  lws *wsi = callerOf(exchange);
   lws_set_opaque_user_data(wsi, nullptr);
   Back.release(exchange);
   Exchanges.close(exchange);
--- a/src/front_http.h
+++ b/src/front_http.h
@@ -1,11 +1,12 @@
 /// \file
-/// Callers' side: the HTTP library's server.
+/// Callers' side over TLS: the HTTP library's server.
 #ifndef GUAVASAIL_SRC_FRONT_HTTP_H
 #define GUAVASAIL_SRC_FRONT_HTTP_H
 
 #include "back_http.h"
 #include "event_sink.h"
 #include "exchange.h"
+#include "front_end.h"
 #include "guavasail/effect.h"
 #include "guavasail/limits.h"
 #include "guavasail/settings.h"
@@ -15,41 +16,21 @@
 
 namespace guavasail {
 
-/// What the balancer in front of the VMs is told.
-enum class ServingState : uint8_t {
-  /// There is no configuration yet.
-  Starting,
-  Ready,
-  /// The configuration cannot be confirmed, so requests are refused.
-  Unconfirmed,
-  Draining,
-};
-
 /// Reads callers' requests and writes their answers.
-class FrontHttp : public AnswerListener {
+class FrontHttp : public FrontEnd {
 public:
   FrontHttp(lws_context *context, const Settings &settings,
             ExchangeTable &exchanges, BackHttp &back, EventSink &sink);
 
-  /// Opens the listening socket.
-  /// \returns false if the address cannot be used.
-  bool open();
-
-  /// Sets what the health endpoints say.
-  /// \param reason why the VM is not ready, empty if it is.
-  void setServing(ServingState state, std::string_view reason = {}) {
-    Serving = state;
-    ServingReason = reason;
-  }
+  bool open() override;
 
-  /// \returns true while an answer's last bytes are on their way.
-  [[nodiscard]] bool ending() const { return Ending > 0; }
+  [[nodiscard]] bool ending() const override { return Ending > 0; }
 
-  void relay(const RelayAnswer &effect);
-  void finish(const FinishAnswer &effect);
-  void abort(const AbortAnswer &effect);
-  void refuse(const RefuseRequest &effect);
-  void replay(const ReplayAnswer &effect);
+  void relay(const RelayAnswer &effect) override;
+  void finish(const FinishAnswer &effect) override;
+  void abort(const AbortAnswer &effect) override;
+  void refuse(const RefuseRequest &effect) override;
+  void replay(const ReplayAnswer &effect) override;
 
   void answerGrew(Exchange &exchange) override;
   void bodyDrained(Exchange &exchange) override;
@@ -96,8 +77,6 @@
   ExchangeTable &Exchanges;
   BackHttp &Back;
   EventSink &Sink;
-  ServingState Serving = ServingState::Starting;
-  std::string_view ServingReason;
   uint32_t Connections = 0;
   /// Connections of a draining daemon that send their last bytes.
   uint32_t Ending = 0;
--- /dev/null
+++ b/src/front_plain.h
@@ -0,0 +1,99 @@
+/// \file
+/// Callers' side over HTTP/1 without TLS.
+#ifndef GUAVASAIL_SRC_FRONT_PLAIN_H
+#define GUAVASAIL_SRC_FRONT_PLAIN_H
+
+#include "back_http.h"
+#include "event_sink.h"
+#include "exchange.h"
+#include "front_end.h"
+#include "guavasail/settings.h"
+#include "http_reader.h"
+#include "tcp_stream.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <uv.h>
+#include <vector>
+
+namespace guavasail {
+
+/// Reads callers' requests and writes their answers.
+class FrontPlain : public FrontEnd, private StreamOwner {
+public:
+  /// \param metrics returns the text of the metrics address.
+  FrontPlain(uv_loop_t &loop, const Settings &settings,
+             ExchangeTable &exchanges, BackHttp &back, EventSink &sink,
+             std::function<std::string()> metrics);
+  ~FrontPlain() override;
+
+  bool open() override;
+  [[nodiscard]] bool ending() const override;
+  void relay(const RelayAnswer &effect) override;
+  void finish(const FinishAnswer &effect) override;
+  void abort(const AbortAnswer &effect) override;
+  void refuse(const RefuseRequest &effect) override;
+  void replay(const ReplayAnswer &effect) override;
+  void answerGrew(Exchange &exchange) override;
+  void bodyDrained(Exchange &exchange) override;
+  void bodyWanted(Exchange &exchange) override;
+
+  /// Closes all connections and listening sockets.
+  void close();
+
+private:
+  /// What a listening socket is for.
+  enum class Door : uint8_t { Callers, Ready, Metrics };
+  struct Caller;
+  struct DoorRow {
+    Door Use;
+    FrontPlain *Owner = nullptr;
+    uv_tcp_t Handle{};
+    bool Open = false;
+  };
+
+  void onOpen(TcpStream &stream) override;
+  void onBytes(TcpStream &stream, std::string_view bytes) override;
+  void onDrained(TcpStream &stream) override;
+  void onEnd(TcpStream &stream, StreamEnd end) override;
+
+  static void onConnection(uv_stream_t *server, int status);
+  bool openDoor(DoorRow &door, const std::string &address, uint32_t port);
+  void welcome(DoorRow &door);
+
+  void readOn(Caller &it);
+  void beginRequest(Caller &it);
+  void takeHead(Caller &it);
+  void takeArrival(Caller &it, const MessageHead &head, Exchange &exchange);
+  void takeBody(Caller &it, Exchange &exchange);
+  void postArrival(Exchange &exchange, const RequestArrived &event);
+  void refuseUnread(Caller &it, ReadFault fault);
+  void answerLocal(Caller &it, const MessageHead &head);
+  void refuseEarly(Exchange &exchange, RefusalKind kind);
+  void pump(Exchange &exchange);
+  bool writeHead(Caller &it, Exchange &exchange);
+  bool writeBody(Caller &it, Exchange &exchange);
+  void writeRefusal(Caller &it, Exchange &exchange);
+  void endTransaction(Caller &it, Exchange &exchange, bool reuse);
+  void endCaller(Caller &it, bool unread);
+  void drop(Caller &it);
+  void expectProgress(Caller &it);
+  Exchange *exchangeOf(const Caller &it);
+  static Caller *callerOf(const Exchange &exchange);
+
+  uv_loop_t &Loop;
+  const Settings &Config;
+  ExchangeTable &Exchanges;
+  BackHttp &Back;
+  EventSink &Sink;
+  std::function<std::string()> Metrics;
+  std::array<DoorRow, 3> Doors{};
+  std::vector<std::unique_ptr<Caller>> Callers;
+};
+
+} // namespace guavasail
+
+#endif
--- a/src/http_headers.cpp
+++ b/src/http_headers.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <libwebsockets.h>
 
 namespace guavasail {
@@ -33,36 +32,9 @@
                                       WSI_TOKEN_HTTP_USER_AGENT,
                                       WSI_TOKEN_ORIGIN});
 
-constexpr auto AnswerTokens = std::to_array<lws_token_indexes>(
-    {WSI_TOKEN_HTTP_CACHE_CONTROL,
-     WSI_TOKEN_HTTP_CONTENT_TYPE,
-     WSI_TOKEN_HTTP_DATE,
-     WSI_TOKEN_HTTP_ACCEPT_RANGES,
-     WSI_TOKEN_HTTP_ACCESS_CONTROL_ALLOW_ORIGIN,
-     WSI_TOKEN_HTTP_AGE,
-     WSI_TOKEN_HTTP_ALLOW,
-     WSI_TOKEN_HTTP_CONTENT_DISPOSITION,
-     WSI_TOKEN_HTTP_CONTENT_ENCODING,
-     WSI_TOKEN_HTTP_CONTENT_LANGUAGE,
-     WSI_TOKEN_HTTP_CONTENT_LOCATION,
-     WSI_TOKEN_HTTP_CONTENT_RANGE,
-     WSI_TOKEN_HTTP_ETAG,
-     WSI_TOKEN_HTTP_EXPIRES,
-     WSI_TOKEN_HTTP_LAST_MODIFIED,
-     WSI_TOKEN_HTTP_LINK,
-     WSI_TOKEN_HTTP_LOCATION,
-     WSI_TOKEN_HTTP_REFRESH,
-     WSI_TOKEN_HTTP_RETRY_AFTER,
-     WSI_TOKEN_HTTP_SET_COOKIE,
-     WSI_TOKEN_HTTP_VARY,
-     WSI_TOKEN_HTTP_WWW_AUTHENTICATE});
-
 constexpr auto RequestCustom = std::to_array<std::string_view>(
     {IdempotencyHeader, "x-request-id:", "traceparent:", "tracestate:"});
 
-constexpr auto AnswerCustom =
-    std::to_array<std::string_view>({"x-request-id:", "x-content-digest:"});
-
 /// Appends every line of one header.
 void copyToken(lws *wsi, lws_token_indexes token,
                std::vector<HeaderField> &fields) {
@@ -74,28 +46,12 @@
     fields.push_back({name, headerLine(wsi, token, n)});
 }
 
-bool isControl(char c) {
-  auto byte = static_cast<unsigned char>(c);
-  return (byte < 0x20 && byte != '\t') || byte == 0x7f;
-}
-
 bool isClean(const HeaderField &field) { return isCleanValue(field.Value); }
 
-std::string_view trim(std::string_view text) {
-  constexpr std::string_view Blank = " \t";
-  size_t from = text.find_first_not_of(Blank);
-  if (from == std::string_view::npos)
-    return {};
-  return text.substr(from, text.find_last_not_of(Blank) - from + 1);
-}
-
 /// Removes the headers that a Connection header names.
 void dropNamed(std::string_view list, std::vector<HeaderField> &fields) {
   while (!list.empty()) {
-    size_t comma = std::min(list.find(','), list.size());
-    std::string name(trim(list.substr(0, comma)));
-    list.remove_prefix(std::min(comma + 1, list.size()));
-    name.push_back(':');
+    std::string name = std::string(takeListItem(list)) + ":";
     std::erase_if(fields, [&](const HeaderField &it) {
       return equalIgnoringCase(it.Name, name);
     });
@@ -133,7 +89,7 @@
     return {};
   value.pop_back();
   // The library keeps the blanks of repeated lines.
-  return std::string(trim(value));
+  return std::string(trimBlanks(value));
 }
 
 int headerLines(lws *wsi, int token) {
@@ -144,18 +100,6 @@
   return n;
 }
 
-bool isCleanValue(std::string_view value) {
-  return std::none_of(value.begin(), value.end(), &isControl);
-}
-
-bool equalIgnoringCase(std::string_view a, std::string_view b) {
-  auto same = [](char x, char y) {
-    return std::tolower(static_cast<unsigned char>(x)) ==
-           std::tolower(static_cast<unsigned char>(y));
-  };
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), same);
-}
-
 std::string customHeader(lws *wsi, std::string_view name) {
   int n = static_cast<int>(name.size());
   int length = lws_hdr_custom_length(wsi, name.data(), n);
@@ -172,10 +116,6 @@
   return copyFields(wsi, RequestTokens, RequestCustom);
 }
 
-std::optional<std::vector<HeaderField>> answerFields(lws *wsi) {
-  return copyFields(wsi, AnswerTokens, AnswerCustom);
-}
-
 bool writeFields(lws *wsi, std::span<const HeaderField> fields,
                  unsigned char **at, unsigned char *end) {
   for (const HeaderField &field : fields) {
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -4,6 +4,7 @@
 #define GUAVASAIL_SRC_HTTP_HEADERS_H
 
 #include "exchange.h"
+#include "http_text.h"
 
 #include <optional>
 #include <span>
@@ -28,12 +29,6 @@
 inline constexpr std::string_view KeyParameter = "api_key=";
 /// Header that gives the instance the host which the caller asked for.
 inline constexpr std::string_view ForwardedHostHeader = "x-forwarded-host:";
-/// Header by which an instance reports its slots in use.
-inline constexpr std::string_view LoadHeader = "x-slots-in-use:";
-/// Header by which an instance says that it is leaving.
-inline constexpr std::string_view LeavingHeader = "x-leaving:";
-/// Header by which an instance says that it did not run the request.
-inline constexpr std::string_view NotRunHeader = "x-not-run:";
 
 /// \returns the value of the header \p name, which ends with a colon.
 std::string customHeader(lws *wsi, std::string_view name);
@@ -44,20 +39,10 @@
 /// \returns the number of lines of a known header.
 int headerLines(lws *wsi, int token);
 
-/// \returns true if \p value holds no byte that headers must not hold.
-bool isCleanValue(std::string_view value);
-
-/// \returns true if \p a and \p b differ at most in the case of letters.
-bool equalIgnoringCase(std::string_view a, std::string_view b);
-
 /// Copies the end-to-end headers of a caller's request.
 /// \returns nothing if a value holds a byte that no header may hold.
 std::optional<std::vector<HeaderField>> requestFields(lws *wsi);
 
-/// Copies the end-to-end headers of a backend server's answer.
-/// \returns nothing if a value holds a byte that no header may hold.
-std::optional<std::vector<HeaderField>> answerFields(lws *wsi);
-
 /// Appends header lines to a head that is being written.
 /// \param at write position, advanced.
 /// \param end end of the room.
--- a/src/http_refusal.cpp
+++ b/src/http_refusal.cpp
@@ -1,5 +1,10 @@
 #include "http_refusal.h"
 
+#include "answer_blob.h"
+#include "http_headers.h"
+#include "log.h"
+
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -8,6 +13,32 @@
 namespace {
 
 constexpr std::string_view ProblemTypePrefix = "urn:guavasail:refusal:";
+constexpr uint32_t OkStatus = 200;
+constexpr uint32_t NotFoundStatus = 404;
+constexpr uint32_t FirstErrorStatus = 500;
+constexpr uint32_t UnavailableStatus = 503;
+constexpr int64_t MillisPerSecond = 1000;
+
+/// A health endpoint, and the states in which it answers that all is well.
+struct HealthRow {
+  std::string_view Path;
+  std::span<const ServingState> Good;
+};
+
+constexpr ServingState AllStates[] = {
+    ServingState::Starting, ServingState::Ready, ServingState::Unconfirmed,
+    ServingState::Draining};
+constexpr ServingState ReadyState[] = {ServingState::Ready};
+constexpr ServingState DrainingState[] = {ServingState::Draining};
+
+constexpr auto HealthRows = std::to_array<HealthRow>({
+    {"/-/alive", AllStates},
+    {"/-/ready", ReadyState},
+    {"/-/draining", DrainingState},
+});
+
+constexpr auto StateNames = std::to_array<std::string_view>(
+    {"starting", "ready", "unconfirmed", "draining"});
 
 struct StatusRow {
   RefusalKind Kind;
@@ -51,19 +82,72 @@
   return 500;
 }
 
-std::string requestId(RequestHandle request) {
-  return std::to_string(request.Index) + "-" +
-         std::to_string(request.Generation);
+std::string_view servingStateName(ServingState state) {
+  return StateNames[static_cast<size_t>(state)];
+}
+
+uint32_t healthStatus(std::string_view path, ServingState state) {
+  for (const HealthRow &row : HealthRows) {
+    if (row.Path != path)
+      continue;
+    bool good =
+        std::find(row.Good.begin(), row.Good.end(), state) != row.Good.end();
+    return good ? OkStatus : UnavailableStatus;
+  }
+  return NotFoundStatus;
+}
+
+std::string requestId(const Exchange &exchange) {
+  if (!exchange.CallerId.empty())
+    return exchange.CallerId;
+  return std::to_string(exchange.Handle.Index) + "-" +
+         std::to_string(exchange.Handle.Generation);
+}
+
+void logRefusal(const Exchange &exchange) {
+  uint32_t status = refusalStatus(exchange.Refusal);
+  logLine(status >= FirstErrorStatus ? LogLevel::Warning : LogLevel::Info,
+          "request-refused",
+          {{"request", requestId(exchange)},
+           {"refusal", refusalSpec(exchange.Refusal).Name},
+           {"status", static_cast<int64_t>(status)},
+           {"retry_after_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                exchange.RetryAfter)
+                .count()}});
+}
+
+std::string retryAfterText(Duration wait, bool fraction) {
+  auto millis = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+  if (!fraction)
+    return std::to_string((millis + MillisPerSecond - 1) / MillisPerSecond);
+  std::string part = std::to_string(MillisPerSecond + millis % MillisPerSecond);
+  return std::to_string(millis / MillisPerSecond) + "." + part.substr(1);
+}
+
+bool takeKeptAnswer(Exchange &exchange, std::string_view blob) {
+  auto kept = decodeAnswer(blob);
+  if (!kept)
+    return false;
+  BackendCall &call =
+      *exchange.Calls.emplace_back(std::make_unique<BackendCall>());
+  call.Head = std::move(kept->Head);
+  call.Head.Fields.push_back({std::string(ReplayedHeader), "true"});
+  call.Answer.append(kept->Body);
+  exchange.Source = &call;
+  exchange.AnswerWhole = true;
+  exchange.Stage = AnswerStage::Head;
+  return true;
 }
 
-std::string problemDocument(RefusalKind kind, RequestHandle request) {
+std::string problemDocument(RefusalKind kind, std::string_view id) {
   const RefusalSpec &spec = refusalSpec(kind);
   nlohmann::ordered_json document;
   document["type"] = std::string(ProblemTypePrefix) + std::string(spec.Name);
   document["title"] = spec.Title;
   document["status"] = refusalStatus(kind);
   document["run"] = runStateName(spec.Run);
-  document["request"] = requestId(request);
+  document["request"] = id;
   return document.dump();
 }
 
--- a/src/http_request.cpp
+++ b/src/http_request.cpp
@@ -2,11 +2,10 @@
 
 #include "http_headers.h"
 #include "key_digest.h"
-#include "rendezvous.h"
+#include "key_finder.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <libwebsockets.h>
 #include <span>
 #include <string>
@@ -59,16 +58,6 @@
   return out;
 }
 
-template <typename Integer>
-std::optional<Integer> parseNumber(std::string_view text) {
-  Integer value = 0;
-  const char *end = text.data() + text.size();
-  auto [at, ec] = std::from_chars(text.data(), end, value);
-  if (ec != std::errc{} || at != end)
-    return std::nullopt;
-  return value;
-}
-
 bool isHttp2(lws *wsi) { return lws_get_network_wsi(wsi) != wsi; }
 
 const MethodRow *findMethod(lws *wsi) {
@@ -108,29 +97,6 @@
   return std::nullopt;
 }
 
-/// The keys of one request. All places where it names one have to agree.
-class KeyFinder {
-public:
-  void add(std::string_view key) {
-    if (key.empty())
-      return;
-    Differ |= !Key.empty() && Key != key;
-    Key = key;
-  }
-
-  [[nodiscard]] bool differ() const { return Differ; }
-  [[nodiscard]] const std::string &key() const { return Key; }
-
-  /// \returns true if \p text holds the key.
-  [[nodiscard]] bool within(std::string_view text) const {
-    return !Key.empty() && text.find(Key) != std::string_view::npos;
-  }
-
-private:
-  std::string Key;
-  bool Differ = false;
-};
-
 /// Takes keys out of the query.
 /// \returns the other parts of the query, decoded.
 std::vector<std::string> takeQuery(lws *wsi, KeyFinder &keys) {
@@ -252,12 +218,6 @@
   return parseTimeout(wsi, event);
 }
 
-uint64_t requestFingerprint(const Exchange &exchange) {
-  uint64_t hash = rendezvousKey(exchange.Method, exchange.BodyBytes);
-  hash = rendezvousKey(exchange.Target, hash);
-  return rendezvousKey(exchange.Body, hash);
-}
-
 std::string escapePath(std::string_view text) {
   return escape(text, PathPunctuation);
 }
--- a/src/http_request.h
+++ b/src/http_request.h
@@ -23,9 +23,6 @@
                                         Exchange &exchange,
                                         RequestArrived &event);
 
-/// \returns the hash of the method, the target and the received body.
-uint64_t requestFingerprint(const Exchange &exchange);
-
 /// \returns \p text with every byte escaped that is not allowed in a path.
 std::string escapePath(std::string_view text);
 
--- a/src/member_part.cpp
+++ b/src/member_part.cpp
@@ -3,7 +3,8 @@
 namespace guavasail {
 
 MembershipInit ReducerState::membershipInit(const ReducerInit &init) {
-  return {init.Self, init.Incarnation, init.Membership, init.Seed};
+  return {init.Self, init.Incarnation, init.Membership, init.Seed,
+          init.Presence.Enabled};
 }
 
 void ReducerState::onVmListRead(const VmListRead &event, Step &step) {
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -18,8 +18,8 @@
 }
 
 Membership::Membership(const MembershipInit &init, CatalogIndex &zones)
-    : Chosen(&strategies()[static_cast<size_t>(init.Kind)]), Zones(zones),
-      Random(init.Seed) {
+    : Chosen(&strategies()[static_cast<size_t>(init.Kind)]),
+      SelfListed(init.SelfListed), Zones(zones), Random(init.Seed) {
   VmHandle self = Table.intern(init.Self, zones.zone(init.Self.Zone), {});
   if (!self.valid())
     return;
@@ -44,6 +44,9 @@
       state(vm, VmState::Alive, (entry.Incarnation | MemberRefutationMask) + 1,
             step);
     }
+    // An entry of its own says that the VM ran a short time ago.
+    if (spec.Incarnation > entry.Incarnation && !isSelf(vm))
+      state(vm, VmState::Alive, spec.Incarnation, step);
     if (spec.Leaving)
       state(vm, VmState::Leaving, entry.Incarnation, step);
   }
@@ -51,6 +54,8 @@
     VmEntry &entry = Table.at({n});
     if (listed[n] || !entry.Listed)
       continue;
+    if (SelfListed && (isSelf({n}) || entry.State != VmState::Gone))
+      continue;
     entry.Listed = false;
     SelfRemoved |= isSelf({n});
     if (!isSelf({n}))
--- a/src/membership.h
+++ b/src/membership.h
@@ -27,6 +27,9 @@
   uint64_t Incarnation = 0;
   MembershipKind Kind = MembershipKind::Probing;
   uint64_t Seed = 1;
+  /// VMs enter themselves in the list. One that is missing may only have lost
+  /// its entry, so it is removed only once it does not answer either.
+  bool SelfListed = false;
 };
 
 /// What a handler of the membership part works with.
@@ -147,6 +150,7 @@
   }
 
   const Strategy *Chosen;
+  bool SelfListed = false;
   CatalogIndex &Zones;
   MemberTable Table;
   GossipQueue Gossip;
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -190,7 +190,8 @@
 template <> struct PeerFields<InstanceSpec> {
   static constexpr std::tuple Members{
       &InstanceSpec::Name, &InstanceSpec::Address, &InstanceSpec::Port,
-      &InstanceSpec::Zone, &InstanceSpec::Slots,   &InstanceSpec::Connections};
+      &InstanceSpec::Zone, &InstanceSpec::Slots,   &InstanceSpec::Connections,
+      &InstanceSpec::Started, &InstanceSpec::Leaving, &InstanceSpec::Cold};
 };
 
 template <> struct PeerFields<ServiceSpec> {
@@ -198,10 +199,18 @@
       &ServiceSpec::Name, &ServiceSpec::FloorPercent, &ServiceSpec::Instances};
 };
 
+template <> inline constexpr uint64_t PeerEnumCount<RequestKind> = 4;
+
+template <> struct PeerFields<SplitSpec> {
+  static constexpr std::tuple Members{&SplitSpec::Service, &SplitSpec::Weight};
+};
+
 template <> struct PeerFields<RouteSpec> {
-  static constexpr std::tuple Members{&RouteSpec::Name, &RouteSpec::Prefix,
-                                      &RouteSpec::Service, &RouteSpec::Timeout,
-                                      &RouteSpec::Workspaces};
+  static constexpr std::tuple Members{
+      &RouteSpec::Name,       &RouteSpec::Prefix,   &RouteSpec::Service,
+      &RouteSpec::Timeout,    &RouteSpec::Workspaces, &RouteSpec::Host,
+      &RouteSpec::Kind,       &RouteSpec::Splits,   &RouteSpec::Attempts,
+      &RouteSpec::Objective,  &RouteSpec::Priority, &RouteSpec::Anonymous};
 };
 
 template <> struct PeerFields<KeySpec> {
@@ -212,7 +221,7 @@
   static constexpr std::tuple Members{
       &WorkspaceSpec::Name, &WorkspaceSpec::Weight,
       &WorkspaceSpec::RatePerSecond, &WorkspaceSpec::Burst,
-      &WorkspaceSpec::Keys};
+      &WorkspaceSpec::Keys, &WorkspaceSpec::Rank};
 };
 
 template <> struct PeerFields<CatalogChunk> {
@@ -285,6 +294,47 @@
       &ConfigChunkPart::Total, &ConfigChunkPart::Entries};
 };
 
+template <> inline constexpr uint64_t PeerEnumCount<PlaceVerdict> = 6;
+template <> inline constexpr uint64_t PeerEnumCount<PlaceOutcome> = 8;
+template <> inline constexpr uint64_t PeerEnumCount<QuotaVerdict> = 3;
+
+template <> struct PeerFields<PlaceAsk> {
+  static constexpr uint32_t Kind = 50;
+  static constexpr std::tuple Members{
+      &PlaceAsk::Service,   &PlaceAsk::Request,     &PlaceAsk::Ordinal,
+      &PlaceAsk::Workspace, &PlaceAsk::Fingerprint, &PlaceAsk::Avoid,
+      &PlaceAsk::Rank,      &PlaceAsk::Repeat,      &PlaceAsk::Idempotent,
+      &PlaceAsk::Large,     &PlaceAsk::Remaining,   &PlaceAsk::Useful};
+};
+
+template <> struct PeerFields<PlaceReply> {
+  static constexpr uint32_t Kind = 51;
+  static constexpr std::tuple Members{
+      &PlaceReply::Request,  &PlaceReply::Ordinal,    &PlaceReply::Verdict,
+      &PlaceReply::Instance, &PlaceReply::RetryAfter, &PlaceReply::Patience};
+};
+
+template <> struct PeerFields<PlaceDone> {
+  static constexpr uint32_t Kind = 52;
+  static constexpr std::tuple Members{
+      &PlaceDone::Service,  &PlaceDone::Request,     &PlaceDone::Ordinal,
+      &PlaceDone::Instance, &PlaceDone::Outcome,     &PlaceDone::Took,
+      &PlaceDone::Fingerprint, &PlaceDone::LoadKnown, &PlaceDone::Running,
+      &PlaceDone::Waiting};
+};
+
+template <> struct PeerFields<QuotaAsk> {
+  static constexpr uint32_t Kind = 53;
+  static constexpr std::tuple Members{&QuotaAsk::Workspace,
+                                      &QuotaAsk::Request};
+};
+
+template <> struct PeerFields<QuotaReply> {
+  static constexpr uint32_t Kind = 54;
+  static constexpr std::tuple Members{
+      &QuotaReply::Request, &QuotaReply::Verdict, &QuotaReply::RetryAfter};
+};
+
 } // namespace guavasail
 
 #endif
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -39,6 +39,7 @@
     &call<StoreReplied, &ReducerState::onStoreReplied>,
     &call<ChangeProposed, &ReducerState::onChangeProposed>,
     &call<AuditAsked, &ReducerState::onAuditAsked>,
+    &call<PresenceReplied, &ReducerState::onPresenceReplied>,
 };
 
 using TimerHandler = void (ReducerState::*)(const Timer &, Step &);
@@ -47,7 +48,9 @@
 constexpr TimerHandler TimerHandlers[] = {
     &ReducerState::onDeadline,     &ReducerState::onClaimRetry,
     &ReducerState::onClaimTimeout, &ReducerState::onRecordUpkeep,
-    &ReducerState::onRateTimer,
+    &ReducerState::onRateTimer,    &ReducerState::onPlaceTimeout,
+    &ReducerState::onPatience,     &ReducerState::onQuotaTimeout,
+    &ReducerState::onDrainEnd,
 };
 
 } // namespace
@@ -66,7 +69,8 @@
 Instant Reducer::nextWake() const {
   return std::min({State->Timers.nextDue(), State->Health.nextTick(),
                    State->Members.nextDue(), State->Rates.nextWake(),
-                   State->Config.nextDue()});
+                   State->Config.nextDue(), State->Dispatch.nextDue(),
+                   State->Quotas.nextDue(), State->Presence.nextDue()});
 }
 
 ReducerState::ReducerState(const ReducerInit &init)
@@ -75,7 +79,8 @@
       Picker(init.Balance, init.Seed), Records(RecordLimits{}),
       Suspects(QuarantineLimits{}),
       Tokens(init.Seed), Self{vmId(init.Name), init.Incarnation},
-      Rates(init.Rates), Zone(Catalog.zone(init.Zone)) {
+      Rates(init.Rates), Dispatch(init.Dispatch), Presence(init.Presence),
+      Fleet(init.Fleet), Zone(Catalog.zone(init.Zone)) {
   Records.setSelf(Self);
 }
 
@@ -89,13 +94,19 @@
   Health.acceptCatalog(Catalog, step.Now);
   Subsets.refresh(Catalog, Members.view(), Zone, Bounds.LanesPerInstance);
   acceptRates(step);
+  acceptPlaces(step);
   Ready = true;
 }
 
 void ReducerState::onDrainRequested(const DrainRequested &, Step &step) {
   Draining = true;
+  DrainFrom = step.Now;
   Members.leave({step.Now, step.Effects});
-  if (Requests.open() == 0)
+  Presence.leave({step.Now, step.Effects});
+  resignPlaces(step);
+  if (Bounds.DrainAccept > Duration::zero())
+    Timers.arm({step.Now + Bounds.DrainAccept, {}, TimerKind::DrainEnd});
+  else if (Requests.open() == 0)
     step.Effects.push(DrainCompleted{});
 }
 
@@ -117,6 +128,8 @@
   if (Members.nextDue() <= step.Now)
     Members.advance({step.Now, step.Effects});
   onConfigTick(step);
+  advancePlaces(step);
+  Presence.advance({step.Now, step.Effects});
 }
 
 } // namespace guavasail
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr uint32_t FirstServerErrorStatus = 500;
+/// Time for which an answer is awaited after the request's deadline.
+constexpr Duration OvertimeLimit = std::chrono::milliseconds(100);
 
 /// \returns what an answer's status says about the instance.
 OutcomeKind outcomeOf(uint32_t status) {
@@ -19,7 +21,18 @@
   return connected ? OutcomeKind::Fault : OutcomeKind::Unreachable;
 }
 
-/// \returns the refusal that states what is known after a failed attempt.
+/// \returns how the use of an instance's slot ended.
+PlaceOutcome placeOutcomeOf(const AttemptAnswered &event) {
+  if (event.Misdirected)
+    return PlaceOutcome::Unreachable;
+  if (event.Shed)
+    return PlaceOutcome::Shed;
+  return event.Status >= FirstServerErrorStatus ? PlaceOutcome::Error
+                                                : PlaceOutcome::Ok;
+}
+
+} // namespace
+
 RefusalKind refusalAfterFault(const Request &request, RefusalKind fallback) {
   if (!request.MayHaveRun)
     return fallback;
@@ -28,22 +41,21 @@
              : RefusalKind::OutcomeUnknown;
 }
 
-/// \returns true if sending the request again cannot run it twice.
 bool mayRepeat(const Request &request) {
   bool safe =
       request.Repeat == Repeatability::Idempotent || !request.MayHaveRun;
   return safe && request.BodyReplayable;
 }
 
-} // namespace
-
 void ReducerState::startAttempt(Request &request, Step &step) {
+  if (Fleet == FleetKind::Owners)
+    return askPlace(request, step);
   // A VM that was paused must not send what others consider ended.
   if (step.Now >= request.Deadline)
     return refuse(request,
                   refusalAfterFault(request, RefusalKind::DeadlineTooShort),
                   step);
-  ServiceHandle service = Catalog.at(request.Route).Service;
+  ServiceHandle service = request.Service;
   InstanceHandle instance =
       Picker.pick({Catalog, Instances, Health.table(), Subsets.at(service),
                    service, request.Instance, Zone});
@@ -77,6 +89,8 @@
   else
     Health.attemptEnded(event.Attempt, outcomeOf(event.Status), step.Now);
   request->MayHaveRun |= !event.Shed;
+  if (Fleet == FleetKind::Owners)
+    return takeAnswer(*request, event, step);
   bool failed = event.Shed || event.Status >= FirstServerErrorStatus;
   bool again =
       failed && mayRepeat(*request) && request->Attempts < Bounds.Attempts;
@@ -89,12 +103,35 @@
   step.Effects.push(RelayAnswer{request->Current});
 }
 
+/// Takes the head of an answer to an attempt that an owner placed.
+void ReducerState::takeAnswer(Request &request, const AttemptAnswered &event,
+                              Step &step) {
+  request.Load = event.Load;
+  request.Status = event.Status;
+  bool failed = event.Status >= FirstServerErrorStatus;
+  bool again = failed && mayRepeat(request) &&
+               request.Runs + 1 < mostRuns(request);
+  if (event.Shed || again) {
+    step.Effects.push(CancelAttempt{request.Current});
+    finishPlace(request, placeOutcomeOf(event), step);
+    // A refusal has arrived at the instance too, so it counts as a repeat.
+    bool ran = !event.Shed;
+    tryAgain(request, ran, RefusalKind::Overloaded, step);
+    return;
+  }
+  request.Outcome = placeOutcomeOf(event);
+  request.Phase = RequestPhase::Relaying;
+  step.Effects.push(RelayAnswer{request.Current});
+}
+
 void ReducerState::onAttemptCompleted(const AttemptCompleted &event,
                                       Step &step) {
   Request *request = Requests.findCurrent(event.Attempt);
   if (!request)
     return;
   Health.attemptDropped(event.Attempt);
+  finishPlace(*request, request->Outcome, step);
+  decided(DecisionKind::Answered, *request, step);
   if (request->Status < FirstServerErrorStatus)
     Suspects.noteSuccess(request->Fingerprint);
   RecordState end =
@@ -110,12 +147,19 @@
     return;
   request->MayHaveRun |= event.MayHaveRun;
   Health.attemptEnded(event.Attempt, outcomeOf(event.Fault), step.Now);
-  if (event.Fault == AttemptFault::Reset)
+  bool owners = Fleet == FleetKind::Owners;
+  if (event.Fault == AttemptFault::Reset && !owners)
     reportCrash(*request, step);
+  bool sent = outcomeOf(event.Fault) != OutcomeKind::Unreachable;
+  finishPlace(*request,
+              sent ? PlaceOutcome::Fault : PlaceOutcome::Unreachable, step);
   if (request->Phase == RequestPhase::Relaying) {
     step.Effects.push(AbortAnswer{request->Self});
     return closeRequest(*request, step);
   }
+  if (owners)
+    return tryAgain(*request, event.MayHaveRun,
+                    RefusalKind::InstanceUnreachable, step);
   retryOrRefuse(*request, RefusalKind::InstanceUnreachable, step);
 }
 
@@ -136,8 +180,19 @@
     return refuse(*request, RefusalKind::RecordsUnavailable, step);
   if (request->Phase == RequestPhase::Asking)
     return refuse(*request, RefusalKind::RateExceeded, step);
+  if (request->Phase == RequestPhase::Placing)
+    return refuse(*request,
+                  refusalAfterFault(*request, RefusalKind::Overloaded), step);
+  if (Fleet == FleetKind::Owners && !request->Overtime) {
+    // The instance ends the request at the same time and may say so.
+    request->Overtime = true;
+    Timers.arm({step.Now + OvertimeLimit, timer.Attempt,
+                TimerKind::RequestDeadline});
+    return;
+  }
   Health.attemptTimedOut(request->Current, step.Now);
   step.Effects.push(CancelAttempt{request->Current});
+  finishPlace(*request, PlaceOutcome::TimedOut, step);
   request->MayHaveRun = true;
   if (request->Phase == RequestPhase::Relaying) {
     step.Effects.push(AbortAnswer{request->Self});
--- a/src/reducer_config.cpp
+++ b/src/reducer_config.cpp
@@ -2,10 +2,29 @@
 
 namespace guavasail {
 
+namespace {
+
+// A change has to be in force 2 s after its acceptance: a watcher reads it
+// after one period, and a VM that no watcher told asks after another.
+constexpr Duration ConfirmPeriod = std::chrono::milliseconds(600);
+constexpr Duration AskPeriod = std::chrono::milliseconds(600);
+constexpr Duration WatcherSilence = std::chrono::milliseconds(1000);
+constexpr Duration WatchFrom = std::chrono::milliseconds(1300);
+
+} // namespace
+
 ConfigInit ReducerState::configInit(const ReducerInit &init) {
   ConfigInit config;
   config.Stored = init.Stored;
   config.Seed = init.Seed;
+  config.Bounds.Withdrawal = init.Withdrawal;
+  config.Bounds.TrustOutage = init.TrustOutage;
+  if (init.Fleet == FleetKind::Owners) {
+    config.Store.Confirm = ConfirmPeriod;
+    config.Sync.Ask = AskPeriod;
+    config.Sync.WatcherSilence = WatcherSilence;
+    config.Sync.WatchFrom = WatchFrom;
+  }
   return config;
 }
 
--- /dev/null
+++ b/src/reducer_place.cpp
@@ -0,0 +1,381 @@
+/// \file
+/// Instances by the owners of services: asks, grants, and the ways on when an
+/// owner does not answer.
+#include "reducer_state.h"
+
+#include <algorithm>
+
+namespace guavasail {
+
+namespace {
+
+/// Separates the keys of tasks from those of other owned things.
+constexpr uint64_t TaskPurpose = 0x7461736b;
+/// Time for the answer of an owner in another zone, its queue excluded.
+constexpr Duration OwnerTimeout = std::chrono::milliseconds(150);
+/// Time between two renewals of a place in a queue.
+constexpr Duration RenewPeriod = std::chrono::milliseconds(400);
+/// An owner that did not answer is passed over for this time.
+constexpr Duration PassOverTime = std::chrono::seconds(2);
+/// Owners that are asked before this VM decides by itself.
+constexpr uint32_t MostOwners = 2;
+/// Attempts of one request, those included that reached no instance.
+constexpr uint32_t MostTries = 6;
+/// Time between two looks at the members.
+constexpr Duration FleetCheck = std::chrono::milliseconds(250);
+/// Time within which a caller that another VM can serve should come again.
+constexpr Duration NoSlotRetry = std::chrono::milliseconds(300);
+
+uint64_t taskKey(std::string_view name) { return rendezvousKey(name, 0); }
+
+} // namespace
+
+void ReducerState::acceptPlaces(Step &step) {
+  if (Fleet != FleetKind::Owners)
+    return;
+  auto instances = Catalog.instances();
+  for (uint32_t n = 0; n < instances.size(); ++n) {
+    InstanceHandle handle{n};
+    InstanceOfKey.insert_or_assign(rendezvousKey(Catalog.name(handle), 0),
+                                   handle);
+  }
+  Dispatch.acceptCatalog(Catalog, step.Now);
+  flushPlaces(step);
+  acceptQuotas(step);
+}
+
+VmHandle ReducerState::taskOwner(uint64_t key, Instant now) const {
+  MemberView members = Members.view();
+  auto eligible = [&](const VmEntry &vm) {
+    auto index = static_cast<size_t>(&vm - members.Vms.data());
+    bool passed = index < PassedOver.size() && now < PassedOver[index];
+    return mayOwn(vm) && !passed;
+  };
+  VmHandle owner = rendezvousOwner(key ^ TaskPurpose, members, eligible);
+  return owner.valid() ? owner : members.Self;
+}
+
+void ReducerState::passOver(VmHandle vm, Step &step) {
+  if (!vm.valid() || vm == Members.view().Self)
+    return;
+  if (PassedOver.size() <= vm.Value)
+    PassedOver.resize(vm.Value + 1);
+  PassedOver[vm.Value] = step.Now + PassOverTime;
+}
+
+uint32_t ReducerState::mostRuns(const Request &request) const {
+  uint32_t own = Catalog.at(request.Route).Attempts;
+  return own > 0 ? own : Bounds.Attempts;
+}
+
+PlaceAsk ReducerState::placeAskOf(const Request &request, Instant now) const {
+  const RouteEntry &route = Catalog.at(request.Route);
+  PlaceAsk ask;
+  ask.Service = taskKey(Catalog.name(request.Service));
+  ask.Request = request.Self;
+  ask.Ordinal = request.Attempts + 1;
+  ask.Rank = route.Priority;
+  if (request.Workspace.valid()) {
+    ask.Workspace = taskKey(Catalog.name(request.Workspace));
+    uint32_t rank = Catalog.at(request.Workspace).Rank;
+    ask.Rank = rank > 0 ? rank - 1 : route.Priority;
+  }
+  ask.Fingerprint = request.Fingerprint;
+  if (request.Instance.valid())
+    ask.Avoid = rendezvousKey(Catalog.name(request.Instance), 0);
+  ask.Repeat = request.RepeatNext;
+  ask.Idempotent = request.Repeat == Repeatability::Idempotent;
+  ask.Large = route.Kind == RequestKind::Download;
+  ask.Remaining = request.Deadline - now;
+  Duration objective =
+      route.Objective > Duration::zero() ? route.Objective : route.Timeout;
+  ask.Useful =
+      std::max(request.Arrived + objective - now, Duration::zero());
+  return ask;
+}
+
+void ReducerState::askPlace(Request &request, Step &step) {
+  if (step.Now >= request.Deadline)
+    return refuse(request,
+                  refusalAfterFault(request, RefusalKind::DeadlineTooShort),
+                  step);
+  request.Phase = RequestPhase::Placing;
+  request.Queued = false;
+  request.AsksLost = 0;
+  request.AskedAt = step.Now;
+  sendPlaceAsk(request, {}, step);
+}
+
+/// Asks \p owner, or whoever is the service's owner by now.
+void ReducerState::sendPlaceAsk(Request &request, VmHandle owner, Step &step) {
+  VmHandle self = Members.view().Self;
+  PlaceAsk ask = placeAskOf(request, step.Now);
+  if (!owner.valid())
+    owner = request.AsksLost < MostOwners ? taskOwner(ask.Service, step.Now)
+                                          : self;
+  request.Asked = owner;
+  if (owner == self) {
+    Dispatch.onAsk(self, Zone, ask, step.Now);
+    return flushPlaces(step);
+  }
+  step.Effects.push(SendPeer{owner, ask});
+  Duration wait = request.Queued ? RenewPeriod : OwnerTimeout;
+  Timers.arm({step.Now + wait,
+              {request.Self, ask.Ordinal},
+              TimerKind::PlaceTimeout});
+}
+
+void ReducerState::onPlaceTimeout(const Timer &timer, Step &step) {
+  Request *request = Requests.find(timer.Attempt.Request);
+  bool waits = request && request->Phase == RequestPhase::Placing &&
+               request->Attempts + 1 == timer.Attempt.Ordinal;
+  if (!waits)
+    return;
+  VmHandle self = Members.view().Self;
+  if (request->Asked == self)
+    return;
+  if (request->Queued) {
+    // The owner has to say again that it holds the place.
+    request->Queued = false;
+    return sendPlaceAsk(*request, request->Asked, step);
+  }
+  decided(DecisionKind::OwnerSilent, *request, step);
+  passOver(request->Asked, step);
+  ++request->AsksLost;
+  sendPlaceAsk(*request, {}, step);
+}
+
+void ReducerState::onPeer(VmHandle from, const PlaceAsk &message, Step &step) {
+  if (Draining) {
+    PlaceReply reply;
+    reply.Request = message.Request;
+    reply.Ordinal = message.Ordinal;
+    step.Effects.push(SendPeer{from, reply});
+    return;
+  }
+  Dispatch.onAsk(from, Members.entry(from).Zone, message, step.Now);
+  flushPlaces(step);
+}
+
+void ReducerState::onPeer(VmHandle from, const PlaceReply &message,
+                          Step &step) {
+  Request *request = Requests.find(message.Request);
+  bool waits = request && request->Phase == RequestPhase::Placing &&
+               request->Attempts + 1 == message.Ordinal &&
+               request->Asked == from;
+  if (waits)
+    return takePlace(*request, from, message, step);
+  if (message.Verdict != PlaceVerdict::Granted)
+    return;
+  // The request went another way in the meantime.
+  PlaceDone done;
+  done.Request = message.Request;
+  done.Ordinal = message.Ordinal;
+  done.Instance = message.Instance;
+  auto it = InstanceOfKey.find(message.Instance);
+  if (it != InstanceOfKey.end())
+    done.Service = taskKey(Catalog.name(Catalog.at(it->second).Service));
+  step.Effects.push(SendPeer{from, done});
+}
+
+void ReducerState::takePlace(Request &request, VmHandle from,
+                             const PlaceReply &reply, Step &step) {
+  switch (reply.Verdict) {
+  case PlaceVerdict::Granted: {
+    auto it = InstanceOfKey.find(reply.Instance);
+    InstanceHandle instance =
+        it == InstanceOfKey.end() ? InstanceHandle{} : it->second;
+    request.HoldsSlot = true;
+    return startOn(request, instance, reply, step);
+  }
+  case PlaceVerdict::Queued:
+    if (!request.Queued)
+      decided(DecisionKind::Queued, request, step);
+    request.Queued = true;
+    if (from != Members.view().Self)
+      Timers.arm({step.Now + RenewPeriod,
+                  {request.Self, request.Attempts + 1},
+                  TimerKind::PlaceTimeout});
+    return;
+  case PlaceVerdict::Overloaded:
+    return refuse(request, refusalAfterFault(request, RefusalKind::Overloaded),
+                  step, reply.RetryAfter);
+  case PlaceVerdict::Quarantined:
+    return refuse(request,
+                  refusalAfterFault(request, RefusalKind::RequestQuarantined),
+                  step, reply.RetryAfter);
+  case PlaceVerdict::BudgetSpent:
+    return refuse(request, refusalAfterFault(request, RefusalKind::Overloaded),
+                  step, NoSlotRetry);
+  case PlaceVerdict::NotOwner:
+    if (from == Members.view().Self)
+      return refuse(request,
+                    refusalAfterFault(request, RefusalKind::NoInstance), step,
+                    NoSlotRetry);
+    passOver(from, step);
+    ++request.AsksLost;
+    return sendPlaceAsk(request, {}, step);
+  }
+}
+
+void ReducerState::startOn(Request &request, InstanceHandle instance,
+                           const PlaceReply &reply, Step &step) {
+  bool known = instance.valid() && Catalog.at(instance).Present &&
+               !Catalog.at(instance).Spec.Leaving &&
+               Catalog.at(instance).Service == request.Service &&
+               Instances.hasFreeLane(instance, MaxLanes);
+  request.Instance = instance;
+  request.AttemptStarted = step.Now;
+  request.Current = {request.Self, ++request.Attempts};
+  if (!known) {
+    finishPlace(request, PlaceOutcome::Unused, step);
+    return tryAgain(request, false, RefusalKind::NoInstance, step);
+  }
+  Lane lane = Instances.takeLane(instance);
+  request.Phase = RequestPhase::Trying;
+  request.Load = {};
+  std::string_view workspace;
+  if (request.Workspace.valid())
+    workspace = Catalog.name(request.Workspace);
+  decided(DecisionKind::Placed, request, step, step.Now - request.AskedAt);
+  step.Effects.push(StartAttempt{request.Current, instance, lane,
+                                 request.Deadline - step.Now, workspace});
+  bool idempotent = request.Repeat == Repeatability::Idempotent;
+  if (idempotent && reply.Patience > Duration::zero())
+    Timers.arm({step.Now + reply.Patience, request.Current,
+                TimerKind::AttemptPatience});
+}
+
+void ReducerState::onPatience(const Timer &timer, Step &step) {
+  Request *request = Requests.findCurrent(timer.Attempt);
+  bool waits = request && request->Phase == RequestPhase::Trying &&
+               request->Runs + 1 < mostRuns(*request) && mayRepeat(*request);
+  if (!waits)
+    return;
+  decided(DecisionKind::Overdue, *request, step,
+          step.Now - request->AttemptStarted);
+  step.Effects.push(CancelAttempt{request->Current});
+  finishPlace(*request, PlaceOutcome::TimedOut, step);
+  request->MayHaveRun = true;
+  tryAgain(*request, true, RefusalKind::AnswerIncomplete, step);
+}
+
+/// Starts another attempt if that is allowed, and refuses the request if not.
+/// \param arrived the attempt before may have reached an instance.
+void ReducerState::tryAgain(Request &request, bool arrived, RefusalKind kind,
+                            Step &step) {
+  request.Runs += arrived ? 1 : 0;
+  request.RepeatNext = arrived;
+  bool allowed = mayRepeat(request) && request.Runs < mostRuns(request) &&
+                 request.Attempts < MostTries;
+  if (!allowed)
+    return refuse(request, refusalAfterFault(request, kind), step, NoSlotRetry);
+  decided(DecisionKind::Repeated, request, step);
+  askPlace(request, step);
+}
+
+/// Gives the slot of the current attempt back and reports how it was used.
+void ReducerState::finishPlace(Request &request, PlaceOutcome outcome,
+                               Step &step) {
+  if (!request.HoldsSlot)
+    return;
+  request.HoldsSlot = false;
+  PlaceDone done;
+  done.Service = taskKey(Catalog.name(request.Service));
+  done.Request = request.Self;
+  done.Ordinal = request.Current.Ordinal;
+  if (request.Instance.valid())
+    done.Instance = rendezvousKey(Catalog.name(request.Instance), 0);
+  done.Outcome = outcome;
+  done.Took = step.Now - request.AttemptStarted;
+  done.Fingerprint = request.Fingerprint;
+  done.LoadKnown = request.Load.Present;
+  done.Running = request.Load.SlotsInUse;
+  done.Waiting = request.Load.Waiting;
+  VmHandle self = Members.view().Self;
+  if (request.Asked == self) {
+    Dispatch.onDone(self, done, step.Now);
+    return flushPlaces(step);
+  }
+  step.Effects.push(SendPeer{request.Asked, done});
+  Dispatch.observe(self, done, step.Now);
+}
+
+/// Takes a request out of its service's queue, or gives its slot back.
+void ReducerState::cancelPlace(Request &request, Step &step) {
+  if (request.HoldsSlot)
+    return finishPlace(request, PlaceOutcome::Cancelled, step);
+  if (request.Phase != RequestPhase::Placing || !request.Asked.valid())
+    return;
+  PlaceDone done;
+  done.Service = taskKey(Catalog.name(request.Service));
+  done.Request = request.Self;
+  done.Ordinal = request.Attempts + 1;
+  done.Outcome = PlaceOutcome::Cancelled;
+  VmHandle self = Members.view().Self;
+  if (request.Asked != self) {
+    step.Effects.push(SendPeer{request.Asked, done});
+    return;
+  }
+  Dispatch.onDone(self, done, step.Now);
+}
+
+/// Sends the dispatcher's replies; those to this VM are taken at once.
+void ReducerState::flushPlaces(Step &step) {
+  VmHandle self = Members.view().Self;
+  while (!Dispatch.output().empty()) {
+    std::vector<PlaceOutput> replies(Dispatch.output().begin(),
+                                     Dispatch.output().end());
+    Dispatch.clearOutput();
+    for (const PlaceOutput &it : replies) {
+      if (it.To == self)
+        onPeer(self, it.Reply, step);
+      else
+        step.Effects.push(SendPeer{it.To, it.Reply});
+    }
+  }
+}
+
+void ReducerState::onPeer(VmHandle from, const PlaceDone &message, Step &step) {
+  Dispatch.onDone(from, message, step.Now);
+  flushPlaces(step);
+}
+
+void ReducerState::resignPlaces(Step &step) {
+  if (Fleet != FleetKind::Owners)
+    return;
+  Dispatch.resign();
+  Quotas.resign();
+  flushPlaces(step);
+  flushQuotas(step);
+}
+
+void ReducerState::advancePlaces(Step &step) {
+  if (Fleet != FleetKind::Owners)
+    return;
+  Dispatch.advance(step.Now);
+  flushPlaces(step);
+  Quotas.advance(step.Now);
+  flushQuotas(step);
+  if (step.Now < NextFleetCheck)
+    return;
+  NextFleetCheck = step.Now + FleetCheck;
+  MemberView members = Members.view();
+  Dropped.resize(members.Vms.size());
+  uint32_t listed = 0;
+  uint32_t alive = 0;
+  for (uint32_t n = 0; n < members.Vms.size(); ++n) {
+    VmState state = members.Vms[n].State;
+    bool gone = state == VmState::Gone || state == VmState::Removed;
+    if (gone && !Dropped[n])
+      Dispatch.dropVm({n}, step.Now);
+    Dropped[n] = gone;
+    bool counts = state != VmState::Removed && state != VmState::Leaving;
+    listed += counts ? 1 : 0;
+    alive += state == VmState::Alive ? 1 : 0;
+  }
+  flushPlaces(step);
+  acceptQuotaMembers(std::max(listed, 1U), std::max(alive, 1U));
+}
+
+} // namespace guavasail
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -6,6 +6,7 @@
 #include "balancer.h"
 #include "catalog_index.h"
 #include "config_part.h"
+#include "dispatcher.h"
 #include "guavasail/effect.h"
 #include "guavasail/event.h"
 #include "guavasail/limits.h"
@@ -14,7 +15,9 @@
 #include "health_fleet.h"
 #include "instance_table.h"
 #include "membership.h"
+#include "presence.h"
 #include "quarantine.h"
+#include "quota.h"
 #include "record_book.h"
 #include "record_claim.h"
 #include "request_table.h"
@@ -23,6 +26,7 @@
 #include "vm_index.h"
 
 #include <random>
+#include <unordered_map>
 
 namespace guavasail {
 
@@ -101,6 +105,48 @@
   void onRateTimer(const Timer &timer, Step &step);
   void flushRates(Step &step);
 
+  // Placement by the owners of services (reducer_place.cpp).
+  void onPeer(VmHandle from, const PlaceAsk &message, Step &step);
+  void onPeer(VmHandle from, const PlaceReply &message, Step &step);
+  void onPeer(VmHandle from, const PlaceDone &message, Step &step);
+  void acceptPlaces(Step &step);
+  void resignPlaces(Step &step);
+  void advancePlaces(Step &step);
+  void askPlace(Request &request, Step &step);
+  void sendPlaceAsk(Request &request, VmHandle owner, Step &step);
+  void takePlace(Request &request, VmHandle from, const PlaceReply &reply,
+                 Step &step);
+  void startOn(Request &request, InstanceHandle instance,
+               const PlaceReply &reply, Step &step);
+  void finishPlace(Request &request, PlaceOutcome outcome, Step &step);
+  void cancelPlace(Request &request, Step &step);
+  void flushPlaces(Step &step);
+  void onPlaceTimeout(const Timer &timer, Step &step);
+  void onPatience(const Timer &timer, Step &step);
+  [[nodiscard]] PlaceAsk placeAskOf(const Request &request, Instant now) const;
+  [[nodiscard]] VmHandle taskOwner(uint64_t key, Instant now) const;
+  void passOver(VmHandle vm, Step &step);
+  void tryAgain(Request &request, bool arrived, RefusalKind kind, Step &step);
+  void takeAnswer(Request &request, const AttemptAnswered &event, Step &step);
+  [[nodiscard]] uint32_t mostRuns(const Request &request) const;
+
+  // Rates by the owners of workspaces (reducer_quota.cpp).
+  void onPeer(VmHandle from, const QuotaAsk &message, Step &step);
+  void onPeer(VmHandle from, const QuotaReply &message, Step &step);
+  void acceptQuotas(Step &step);
+  void acceptQuotaMembers(uint32_t listed, uint32_t alive);
+  void askQuota(Request &request, Step &step);
+  void takeQuota(const QuotaReply &reply, VmHandle from, Step &step);
+  void flushQuotas(Step &step);
+  void onQuotaTimeout(const Timer &timer, Step &step);
+
+  // Life cycle of this VM in the fleet.
+  void onPresenceReplied(const PresenceReplied &event, Step &step);
+  void onDrainEnd(const Timer &timer, Step &step);
+  void endDrainIfIdle(Step &step);
+  void decided(DecisionKind kind, const Request &request, Step &step,
+               Duration wait = {});
+
   /// Starts an admitted request: claims its record if it needs one.
   void beginRun(Request &request, Step &step);
   // Configuration (reducer_config.cpp).
@@ -147,11 +193,33 @@
   RatePart Rates;
   /// Requests in the phase `Asking`, in order of arrival.
   std::vector<RequestHandle> Asking;
+  Dispatcher Dispatch;
+  QuotaBook Quotas;
+  uint32_t QuotaListed = 0;
+  uint32_t QuotaAlive = 0;
+  PresencePart Presence;
+  FleetKind Fleet;
+  /// Instances by the hash of their names.
+  std::unordered_map<uint64_t, InstanceHandle> InstanceOfKey;
+  /// When a VM that did not answer may be asked again, by handle.
+  std::vector<Instant> PassedOver;
+  /// VMs whose slots were given back since they went, by handle.
+  std::vector<bool> Dropped;
+  Instant NextFleetCheck{};
+  /// Counts requests, to spread those of split routes.
+  uint64_t SplitTurn = 0;
   ZoneHandle Zone;
   bool Ready = false;
   bool Draining = false;
+  Instant DrainFrom{};
 };
 
+/// \returns the refusal that states what is known after a failed attempt.
+RefusalKind refusalAfterFault(const Request &request, RefusalKind fallback);
+
+/// \returns true if sending the request again cannot run it twice.
+bool mayRepeat(const Request &request);
+
 } // namespace guavasail
 
 #endif
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -16,7 +16,15 @@
 namespace guavasail {
 
 /// Progress of a request.
-enum class RequestPhase : uint8_t { Free, Asking, Claiming, Trying, Relaying };
+enum class RequestPhase : uint8_t {
+  Free,
+  Asking,
+  Claiming,
+  /// Waits for an instance.
+  Placing,
+  Trying,
+  Relaying,
+};
 
 /// One request in progress.
 struct Request {
@@ -37,6 +45,27 @@
   AttemptHandle Current;
   InstanceHandle Instance;
   Instant AttemptStarted;
+  /// One of the route's services.
+  ServiceHandle Service;
+  /// The request came with a key.
+  bool Keyed = false;
+  /// The VM that was asked for an instance or a token.
+  VmHandle Asked;
+  /// Asks that were not answered.
+  uint32_t AsksLost = 0;
+  /// The asked VM holds the request in its queue.
+  bool Queued = false;
+  /// A slot was granted by `Asked` and not given back.
+  bool HoldsSlot = false;
+  /// The attempt before may have reached an instance.
+  bool RepeatNext = false;
+  /// Attempts that may have reached an instance.
+  uint32_t Runs = 0;
+  Instant AskedAt;
+  LoadReport Load;
+  PlaceOutcome Outcome = PlaceOutcome::Ok;
+  /// The deadline passed and a last answer is waited for.
+  bool Overtime = false;
   /// Hash of the method, path and body; 0 if it is not known.
   uint64_t Fingerprint = 0;
   /// Status of the answer that is relayed.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -231,6 +231,9 @@
     overrideFromEnvironment();
     parseSection("limits", LimitFields, Result.Bounds, false);
     parseSection("store", StoreFields, Result.Store, false);
+    parseSection("fleet", FleetFields, Result.Fleet, false);
+    parseSection("headers", HeaderFields, Result.Headers, false);
+    splitEndpoints();
     parseSection("peers", PeerFields, Result.Peers, false);
     forEachTable(Root, "vm", Faults,
                  [this](const toml::table &it) { parseVm(it); });
@@ -247,13 +250,14 @@
 private:
   void checkTopLevel() {
     static constexpr auto Known = std::to_array<std::string_view>(
-        {"daemon", "limits", "store", "peers", "vm", "service", "workspace",
-         "route"});
+        {"daemon", "limits", "store", "fleet", "headers", "peers", "vm",
+         "service", "workspace", "route"});
     for (const auto &[key, node] : Root)
       if (std::find(Known.begin(), Known.end(), key.str()) == Known.end())
         Faults.add(
             SettingsFault::KeyUnknown, lineOf(node), std::string(key.str()),
-            "one of daemon limits store peers vm service workspace route");
+            "one of daemon limits store fleet headers peers vm service "
+            "workspace route");
   }
 
   template <typename Spec, size_t N>
@@ -269,6 +273,29 @@
     parseFields(*node->as_table(), key, fields, spec, Faults);
   }
 
+  /// Takes addresses that were written as one text apart.
+  void splitEndpoints() {
+    struct Row {
+      const std::string &Text;
+      std::string &Address;
+      uint32_t &Port;
+    };
+    DaemonSettings &daemon = Result.Daemon;
+    const Row rows[] = {
+        {daemon.Listen, daemon.ListenAddress, daemon.ListenPort},
+        {daemon.ReadyListen, daemon.ReadyAddress, daemon.ReadyPort},
+        {daemon.MetricsListen, daemon.MetricsAddress, daemon.MetricsPort},
+        {Result.Store.Endpoint, Result.Store.Address, Result.Store.Port},
+    };
+    for (const Row &row : rows) {
+      if (!isEndpoint(row.Text))
+        continue;
+      size_t colon = row.Text.rfind(':');
+      row.Address = row.Text.substr(0, colon);
+      row.Port = static_cast<uint32_t>(std::stoul(row.Text.substr(colon + 1)));
+    }
+  }
+
   void parseVm(const toml::table &table) {
     VmSpec &spec = Result.Vms.emplace_back();
     parseFields(table, "vm", VmFields, spec, Faults);
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -3,6 +3,7 @@
 #ifndef GUAVASAIL_SRC_SETTINGS_FIELDS_H
 #define GUAVASAIL_SRC_SETTINGS_FIELDS_H
 
+#include "guavasail/limits.h"
 #include "guavasail/settings.h"
 
 #include <arpa/inet.h>
@@ -17,7 +18,6 @@
 
 inline constexpr uint32_t MaxPort = 65535;
 inline constexpr uint32_t MaxCount = 1u << 30;
-inline constexpr uint32_t MaxLanes = 64;
 
 /// A member that a key fills in.
 template <typename Spec>
@@ -50,6 +50,25 @@
   return text == "text" || text == "json";
 }
 
+/// \returns true if \p text is "IP:PORT".
+inline bool isEndpoint(const std::string &text) {
+  size_t colon = text.rfind(':');
+  if (colon == std::string::npos || !isAddress(text.substr(0, colon)))
+    return false;
+  std::string port = text.substr(colon + 1);
+  bool digits = !port.empty() && port.size() <= 5 &&
+                port.find_first_not_of("0123456789") == std::string::npos;
+  return digits && std::stoul(port) >= 1 && std::stoul(port) <= 65535;
+}
+
+/// \returns true if \p text is a mode of the fleet.
+inline bool isFleetMode(const std::string &text) {
+  return text == "alone" || text == "owners";
+}
+
+inline constexpr TextRule EndpointRule = {&isEndpoint, "IP:PORT"};
+inline constexpr TextRule FleetModeRule = {&isFleetMode,
+                                           "one of alone owners"};
 inline constexpr TextRule AddressRule = {&isAddress, "an IP number"};
 inline constexpr TextRule LogLevelRule = {&isLogLevel,
                                           "one of debug info warning error"};
@@ -73,6 +92,11 @@
     {"listen_address", &DaemonSettings::ListenAddress, false, 0, 0,
      &AddressRule},
     {"listen_port", &DaemonSettings::ListenPort, false, 1, MaxPort},
+    {"listen", &DaemonSettings::Listen, false, 0, 0, &EndpointRule},
+    {"ready_listen", &DaemonSettings::ReadyListen, false, 0, 0, &EndpointRule},
+    {"ready_path", &DaemonSettings::ReadyPath},
+    {"metrics_listen", &DaemonSettings::MetricsListen, false, 0, 0,
+     &EndpointRule},
     {"tls_certificate", &DaemonSettings::TlsCertificate},
     {"tls_key", &DaemonSettings::TlsKey},
     {"log_level", &DaemonSettings::LogLevel, false, 0, 0, &LogLevelRule},
@@ -104,8 +128,39 @@
 });
 
 inline constexpr auto StoreFields = std::to_array<Field<StoreSettings>>({
-    {"address", &StoreSettings::Address},
-    {"port", &StoreSettings::Port, true, 1, MaxPort},
+    {"address", &StoreSettings::Address, false, 0, 0, &AddressRule},
+    {"port", &StoreSettings::Port, false, 1, MaxPort},
+    {"endpoint", &StoreSettings::Endpoint, false, 0, 0, &EndpointRule},
+});
+
+inline constexpr auto FleetFields = std::to_array<Field<FleetSettings>>({
+    {"mode", &FleetSettings::Mode, false, 0, 0, &FleetModeRule},
+    {"address", &FleetSettings::Address, false, 0, 0, &AddressRule},
+    {"peer_port", &FleetSettings::PeerPort, false, 1, MaxPort},
+    {"region", &FleetSettings::Region},
+    {"retry_percent", &FleetSettings::RetryPercent, false, 0, 100},
+    {"retry_slack", &FleetSettings::RetrySlack},
+    {"retry_window_ms", &FleetSettings::RetryWindow, false, 1000},
+    {"withdrawal_ms", &FleetSettings::Withdrawal, false, 1000},
+    {"trust_outage", &FleetSettings::TrustOutage},
+    {"lease_ms", &FleetSettings::Lease, false, 1000, 600000},
+});
+
+inline constexpr auto HeaderFields = std::to_array<Field<HeaderNames>>({
+    {"timeout", &HeaderNames::Timeout},
+    {"key_scheme", &HeaderNames::KeyScheme},
+    {"key_header", &HeaderNames::KeyHeader},
+    {"key_parameter", &HeaderNames::KeyParameter},
+    {"request_id", &HeaderNames::RequestId},
+    {"expected_instance", &HeaderNames::ExpectedInstance},
+    {"workspace", &HeaderNames::Workspace},
+    {"load", &HeaderNames::Load},
+    {"leaving", &HeaderNames::Leaving},
+    {"not_run", &HeaderNames::NotRun},
+    {"signature", &HeaderNames::Signature},
+    {"echoed_id", &HeaderNames::EchoedId},
+    {"pass_host", &HeaderNames::PassHost},
+    {"fractional_retry_after", &HeaderNames::FractionalRetryAfter},
 });
 
 inline constexpr auto LimitFields = std::to_array<Field<Limits>>({
@@ -119,6 +174,9 @@
     {"attempts", &Limits::Attempts, false, 1, 16},
     {"caller_idle_ms", &Limits::CallerIdle, false, 1},
     {"connect_ms", &Limits::Connect, false, 1},
+    {"lane_idle_ms", &Limits::LaneIdle, false, 1},
+    {"hold_answers", &Limits::HoldAnswers},
+    {"drain_accept_ms", &Limits::DrainAccept},
 });
 
 inline constexpr auto InstanceFields = std::to_array<Field<InstanceSpec>>({
--- /dev/null
+++ b/src/tcp_stream.cpp
@@ -0,0 +1,217 @@
+#include "tcp_stream.h"
+
+#include <array>
+#include <sys/socket.h>
+
+namespace guavasail {
+
+namespace {
+
+constexpr size_t ReadBytes = 64 * 1024;
+
+/// A write in progress and its bytes.
+struct Write {
+  uv_write_t Request{};
+  std::string Bytes;
+  TcpStream *Stream = nullptr;
+};
+
+uv_stream_t *streamOf(uv_tcp_t &tcp) {
+  return reinterpret_cast<uv_stream_t *>(&tcp);
+}
+
+uv_handle_t *handleOf(uv_tcp_t &tcp) {
+  return reinterpret_cast<uv_handle_t *>(&tcp);
+}
+
+uv_handle_t *handleOf(uv_timer_t &timer) {
+  return reinterpret_cast<uv_handle_t *>(&timer);
+}
+
+/// One buffer serves all connections: a read is handled before the next one.
+void allocate(uv_handle_t *, size_t, uv_buf_t *buf) {
+  static std::array<char, ReadBytes> bytes;
+  *buf = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+}
+
+} // namespace
+
+uint64_t loopMillis(const uv_loop_t &loop) { return uv_now(&loop); }
+
+TcpStream::TcpStream(uv_loop_t &loop, StreamOwner &owner) : Owner(&owner) {
+  uv_tcp_init(&loop, &Tcp);
+  uv_timer_init(&loop, &Timer);
+  Tcp.data = Timer.data = Connect.data = this;
+}
+
+TcpStream *TcpStream::connect(uv_loop_t &loop, const std::string &address,
+                              uint32_t port, StreamOwner &owner) {
+  auto *stream = new TcpStream(loop, owner);
+  sockaddr_storage place{};
+  auto number = static_cast<int>(port);
+  int fault = uv_ip4_addr(address.c_str(), number,
+                          reinterpret_cast<sockaddr_in *>(&place));
+  if (fault != 0)
+    fault = uv_ip6_addr(address.c_str(), number,
+                        reinterpret_cast<sockaddr_in6 *>(&place));
+  uv_tcp_nodelay(&stream->Tcp, 1);
+  if (fault == 0)
+    fault = uv_tcp_connect(&stream->Connect, &stream->Tcp,
+                           reinterpret_cast<const sockaddr *>(&place),
+                           &TcpStream::onConnected);
+  // A failure is reported by the timer, after this has returned.
+  if (fault != 0)
+    stream->setDeadline(loopMillis(loop) + 1);
+  return stream;
+}
+
+TcpStream *TcpStream::accept(uv_stream_t &server, StreamOwner &owner) {
+  auto *stream = new TcpStream(*server.loop, owner);
+  if (uv_accept(&server, streamOf(stream->Tcp)) != 0) {
+    stream->close();
+    return nullptr;
+  }
+  uv_tcp_nodelay(&stream->Tcp, 1);
+  stream->startReading();
+  return stream;
+}
+
+void TcpStream::startReading() {
+  if (Reading || Closing)
+    return;
+  Reading = true;
+  uv_read_start(streamOf(Tcp), &allocate, &TcpStream::onRead);
+}
+
+void TcpStream::pause() {
+  if (!Reading)
+    return;
+  Reading = false;
+  uv_read_stop(streamOf(Tcp));
+}
+
+void TcpStream::resume() { startReading(); }
+
+void TcpStream::write(std::string bytes) {
+  if (Closing || bytes.empty())
+    return;
+  uv_buf_t buf =
+      uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+  size_t sent = 0;
+  if (queued() == 0) {
+    int n = uv_try_write(streamOf(Tcp), &buf, 1);
+    sent = n > 0 ? static_cast<size_t>(n) : 0;
+  }
+  if (sent == bytes.size())
+    return;
+  auto *write = new Write;
+  write->Bytes = sent == 0 ? std::move(bytes) : bytes.substr(sent);
+  write->Stream = this;
+  write->Request.data = write;
+  buf = uv_buf_init(write->Bytes.data(),
+                    static_cast<unsigned>(write->Bytes.size()));
+  if (uv_write(&write->Request, streamOf(Tcp), &buf, 1,
+               &TcpStream::onWritten) != 0)
+    delete write;
+}
+
+void TcpStream::onWritten(uv_write_t *request, int status) {
+  auto *write = static_cast<Write *>(request->data);
+  TcpStream &self = *write->Stream;
+  delete write;
+  if (self.Closing || status != 0 || self.queued() > 0)
+    return;
+  if (self.CloseAfterWrite)
+    return self.close();
+  if (self.Owner)
+    self.Owner->onDrained(self);
+}
+
+size_t TcpStream::queued() const { return Tcp.write_queue_size; }
+
+void TcpStream::setDeadline(uint64_t due) {
+  Due = due;
+  // A later deadline is set when the timer fires.
+  if (Due != 0 && !Closing && (Armed == 0 || Due < Armed))
+    armTimer(Due);
+}
+
+void TcpStream::armTimer(uint64_t due) {
+  Armed = due;
+  uint64_t now = loopMillis(*Tcp.loop);
+  uv_timer_start(&Timer, &TcpStream::onTimer, due > now ? due - now : 0, 0);
+}
+
+void TcpStream::onTimer(uv_timer_t *timer) {
+  auto &self = *static_cast<TcpStream *>(timer->data);
+  self.Armed = 0;
+  if (self.Due == 0 || self.Closing)
+    return;
+  if (self.Due > loopMillis(*timer->loop))
+    return self.armTimer(self.Due);
+  self.finish(StreamEnd::TimedOut);
+}
+
+void TcpStream::onConnected(uv_connect_t *request, int status) {
+  auto &self = *static_cast<TcpStream *>(request->data);
+  if (self.Closing)
+    return;
+  if (status != 0)
+    return self.finish(StreamEnd::ConnectFailed);
+  self.startReading();
+  self.Owner->onOpen(self);
+}
+
+void TcpStream::onRead(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf) {
+  auto &self = *static_cast<TcpStream *>(stream->data);
+  if (self.Closing || n == 0)
+    return;
+  if (n > 0) {
+    if (self.Owner)
+      self.Owner->onBytes(self, {buf->base, static_cast<size_t>(n)});
+    return;
+  }
+  self.finish(n == UV_EOF ? StreamEnd::Closed : StreamEnd::Reset);
+}
+
+void TcpStream::finish(StreamEnd end) {
+  if (Closing)
+    return;
+  StreamOwner *owner = Owner;
+  close();
+  if (owner)
+    owner->onEnd(*this, end);
+}
+
+void TcpStream::closeWhenSent() {
+  Owner = nullptr;
+  if (queued() == 0)
+    return close();
+  CloseAfterWrite = true;
+}
+
+void TcpStream::close() {
+  if (Closing)
+    return;
+  Closing = true;
+  Owner = nullptr;
+  uv_close(handleOf(Tcp), &TcpStream::onClosed);
+  uv_close(handleOf(Timer), &TcpStream::onClosed);
+}
+
+void TcpStream::reset() {
+  if (Closing)
+    return;
+  Closing = true;
+  Owner = nullptr;
+  uv_tcp_close_reset(&Tcp, &TcpStream::onClosed);
+  uv_close(handleOf(Timer), &TcpStream::onClosed);
+}
+
+void TcpStream::onClosed(uv_handle_t *handle) {
+  auto *self = static_cast<TcpStream *>(handle->data);
+  if (--self->Handles == 0)
+    delete self;
+}
+
+} // namespace guavasail
--- /dev/null
+++ b/src/tcp_stream.h
@@ -0,0 +1,110 @@
+/// \file
+/// TCP connections on the process loop, with one deadline each.
+#ifndef GUAVASAIL_SRC_TCP_STREAM_H
+#define GUAVASAIL_SRC_TCP_STREAM_H
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <uv.h>
+
+namespace guavasail {
+
+/// How a connection ended.
+enum class StreamEnd : uint8_t {
+  /// The peer closed it in order.
+  Closed,
+  /// It was reset or failed.
+  Reset,
+  /// It could not be set up.
+  ConnectFailed,
+  /// Its deadline passed.
+  TimedOut,
+};
+
+class TcpStream;
+
+/// Told what happens on a connection. After `onEnd` the stream is closed and
+/// must not be used.
+class StreamOwner {
+public:
+  virtual void onOpen(TcpStream &stream) = 0;
+  virtual void onBytes(TcpStream &stream, std::string_view bytes) = 0;
+  /// All queued bytes were handed to the system.
+  virtual void onDrained(TcpStream &stream) = 0;
+  virtual void onEnd(TcpStream &stream, StreamEnd end) = 0;
+
+protected:
+  ~StreamOwner() = default;
+};
+
+/// Reads the loop's cached clock in milliseconds.
+uint64_t loopMillis(const uv_loop_t &loop);
+
+/// One TCP connection. It frees itself after `close`.
+class TcpStream {
+public:
+  /// Starts to connect. The result is `onOpen` or `onEnd`, never before this
+  /// returns.
+  /// \param address IP number in text form.
+  static TcpStream *connect(uv_loop_t &loop, const std::string &address,
+                            uint32_t port, StreamOwner &owner);
+
+  /// Takes the next connection of a listening socket and reads from it.
+  /// \returns null if there is none.
+  static TcpStream *accept(uv_stream_t &server, StreamOwner &owner);
+
+  /// Sends bytes, at once if the system takes them.
+  void write(std::string bytes);
+
+  /// Stops and continues reading.
+  void pause();
+  void resume();
+
+  /// Ends the connection when \p due has passed; 0 takes the deadline away.
+  /// \param due time in milliseconds of the loop's clock.
+  void setDeadline(uint64_t due);
+
+  /// Closes after all queued bytes are out.
+  void closeWhenSent();
+  /// Closes at once. No callback follows.
+  void close();
+  /// Closes with a reset, so that the peer takes nothing for complete.
+  void reset();
+
+  /// \returns bytes that the system has not taken yet.
+  [[nodiscard]] size_t queued() const;
+  [[nodiscard]] uv_loop_t &loop() const { return *Tcp.loop; }
+
+  /// Free use by the owner.
+  void *Context = nullptr;
+
+private:
+  explicit TcpStream(uv_loop_t &loop, StreamOwner &owner);
+  ~TcpStream() = default;
+
+  void startReading();
+  void finish(StreamEnd end);
+  void armTimer(uint64_t due);
+  static void onConnected(uv_connect_t *request, int status);
+  static void onRead(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
+  static void onWritten(uv_write_t *request, int status);
+  static void onTimer(uv_timer_t *timer);
+  static void onClosed(uv_handle_t *handle);
+
+  uv_tcp_t Tcp{};
+  uv_timer_t Timer{};
+  uv_connect_t Connect{};
+  StreamOwner *Owner;
+  uint64_t Due = 0;
+  uint64_t Armed = 0;
+  int Handles = 2;
+  bool Closing = false;
+  bool CloseAfterWrite = false;
+  bool Reading = false;
+};
+
+} // namespace guavasail
+
+#endif
--- a/src/timer_heap.h
+++ b/src/timer_heap.h
@@ -19,6 +19,14 @@
   ClaimTimeout,
   RecordUpkeep,
   RateDecision,
+  /// No answer to a `PlaceAsk`.
+  PlaceTimeout,
+  /// An answer of an instance is unusually late.
+  AttemptPatience,
+  /// No answer to a `QuotaAsk`.
+  QuotaTimeout,
+  /// A draining VM takes no more requests.
+  DrainEnd,
 };
 
 /// One armed timer. A timer of a finished request is ignored when it fires.
--- a/src/verb_serve.cpp
+++ b/src/verb_serve.cpp
@@ -3,7 +3,6 @@
 #include "log.h"
 #include "verbs.h"
 
-#include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sodium.h>
@@ -50,8 +49,6 @@
   const DaemonSettings &config = settings.value().Daemon;
   initLog(parseLogLevel(config.LogLevel),
           config.LogFormatName == "json" ? LogFormat::Json : LogFormat::Text);
-  if (const char *token = std::getenv("GUAVASAIL_STORE_TOKEN"))
-    settings.value().Store.Token = token;
   Daemon daemon(settings.value());
   StartFault fault = daemon.start();
   if (fault != StartFault::None) {
