Answers without a length keep their form towards the caller

Ruled out: a reset taken for an end (the log shows an end in order for each). Change: such answers end with the connection towards the caller too.

--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -1,6 +1,7 @@
 #include "back_http.h"
 
 #include "answer_blob.h"
+#include "http_refusal.h"
 #include "http_text.h"
 #include "log.h"
 
@@ -343,6 +344,7 @@
   answer.Status = head.Status;
   answer.Length = head.Length;
   answer.Chunked = head.Chunked;
+  answer.UntilClose = it.Reader->endsWithConnection();
   answer.Fields = head.Fields;
   dropHopByHop(answer.Fields);
   if (!Bounds.HoldAnswers)
@@ -382,7 +384,7 @@
   bool bodyless = exchange.Method == "HEAD" || call.Head.Status == 204 ||
                   call.Head.Status == 304;
   // A whole answer in hand has a length, whatever way it came.
-  if (!it.Answered && !bodyless)
+  if (!it.Answered && !bodyless && !call.Head.UntilClose)
     call.Head.Length = call.AnswerBytes;
   postAnswered(it);
   bool keep = exchange.KeepAnswer && call.AnswerBytes == call.Kept.size();
@@ -424,6 +426,11 @@
   if (last && it.Call && exchange) {
     it.Reader->end();
     it.Tainted = true;
+    it.Call->Head.UntilClose = true;
+    logLine(LogLevel::Info, "backend-answer-unframed",
+            {{"request", requestId(*exchange)},
+             {"instance", std::string_view(it.Spec.Name)},
+             {"bytes", static_cast<int64_t>(it.Call->AnswerBytes)}});
     return complete(it, *exchange);
   }
   fail(it, it.Answered ? AttemptFault::Truncated : AttemptFault::Reset);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -32,6 +32,9 @@
   std::optional<uint64_t> Length;
   /// The body ends with a chunk of its own.
   bool Chunked = false;
+  /// Only the end of the connection ends the body. The caller has to see that
+  /// too, since nothing tells whether the body is whole.
+  bool UntilClose = false;
   std::vector<HeaderField> Fields;
 };
 
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -357,13 +357,14 @@
   bool ok = head.status(answer.Status) && head.fields(answer.Fields);
   bool bodyless =
       exchange.Method == "HEAD" || answer.Status == 204 || answer.Status == 304;
+  bool untilClose = exchange.OldCaller || answer.UntilClose;
   exchange.AnswerChunked =
-      !bodyless && !answer.Length && !isHttp2(wsi) && !exchange.OldCaller;
+      !bodyless && !answer.Length && !isHttp2(wsi) && !untilClose;
   if (answer.Length)
     ok = ok && head.length(*answer.Length);
   if (exchange.AnswerChunked)
     ok = ok && head.field("transfer-encoding:", "chunked");
-  bool last = exchange.OldCaller || Serving == ServingState::Draining;
+  bool last = untilClose || Serving == ServingState::Draining;
   if (last && !isHttp2(wsi))
     ok = ok && head.field("connection:", "close");
   if (!ok || !head.send())
@@ -390,7 +391,8 @@
     return -1;
   call.Answer.consume(part.size());
   if (last)
-    return endTransaction(exchange, !exchange.OldCaller);
+    return endTransaction(exchange,
+                          !exchange.OldCaller && !call.Head.UntilClose);
   expectProgress(callerOf(exchange));
   Back.resume(call);
   if (!call.Answer.unread().empty() || exchange.AnswerWhole)
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -434,7 +434,8 @@
     [[fallthrough]];
   case AnswerStage::Body:
     if (writeBody(*it, exchange))
-      endTransaction(*it, exchange, !exchange.OldCaller);
+      endTransaction(*it, exchange,
+                     !exchange.OldCaller && !exchange.Source->Head.UntilClose);
     return;
   case AnswerStage::Broken:
     // Only a reset shows for certain that the answer is not whole.
@@ -455,8 +456,8 @@
   bool bodyless = exchange.Method == "HEAD" ||
                   answer.Status == NoContentStatus ||
                   answer.Status == NotModifiedStatus;
-  exchange.AnswerChunked =
-      !bodyless && !answer.Length && !exchange.OldCaller;
+  bool untilClose = exchange.OldCaller || answer.UntilClose;
+  exchange.AnswerChunked = !bodyless && !answer.Length && !untilClose;
   std::string out = startLine(answer.Status);
   for (const HeaderField &field : answer.Fields)
     appendField(out, field.Name, field.Value);
@@ -464,8 +465,7 @@
     appendField(out, "content-length:", std::to_string(*answer.Length));
   if (exchange.AnswerChunked)
     appendField(out, "transfer-encoding:", "chunked");
-  if (exchange.OldCaller || Serving == ServingState::Draining ||
-      !it.RequestRead)
+  if (untilClose || Serving == ServingState::Draining || !it.RequestRead)
     appendField(out, "connection:", "close");
   it.Stream->write(out.append(LineEnd));
   exchange.Stage = AnswerStage::Body;
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -84,13 +84,11 @@
   Bucket *bucket = find(ask.Workspace);
   if (!bucket)
     return reply(from, ask.Request, QuotaVerdict::NotOwner);
-  bool doubtful = bucket->Generation != Generation &&
-                  now - bucket->AskedAt > HandoverTime;
+  bool doubtful = ChangedAt > bucket->AskedAt + HandoverTime;
   if (doubtful) {
     bucket->Tokens = 0;
-    bucket->FilledAt = now;
+    bucket->FilledAt = ChangedAt;
   }
-  bucket->Generation = Generation;
   bucket->AskedAt = now;
   fill(*bucket, now);
   serve(*bucket, now);
--- a/src/quota.h
+++ b/src/quota.h
@@ -39,13 +39,13 @@
   /// VM that is alone.
   void setLimits(std::span<const QuotaLimit> limits, bool full, Instant now);
 
-  /// The fleet changed. An owner that was not asked since may not have been the
-  /// owner all the time; its tokens are void.
+  /// The fleet changed. Before that, another VM may have given out what an
+  /// owner has saved up since it was asked last.
   /// \param share part of each rate that this VM may give out as an owner, from
   /// 0 to 1: the part of the fleet that it hears.
-  void setShare(double share) {
+  void setShare(double share, Instant now) {
     Share = share;
-    ++Generation;
+    ChangedAt = now;
   }
 
   /// Sets the part that this VM gives to its own requests when no owner can
@@ -80,9 +80,8 @@
     Instant FilledAt{};
     double OwnTokens = 0;
     Instant OwnFilledAt{};
-    /// When an ask came last, and the fleet's generation then.
+    /// When an ask came last.
     Instant AskedAt{};
-    uint64_t Generation = 0;
     std::deque<Waiting> Queue;
   };
 
@@ -98,7 +97,7 @@
   std::vector<QuotaOutput> Out;
   double Share = 1;
   double OwnShare = 0;
-  uint64_t Generation = 0;
+  Instant ChangedAt{};
 };
 
 } // namespace guavasail
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -375,7 +375,8 @@
     alive += state == VmState::Alive ? 1 : 0;
   }
   flushPlaces(step);
-  acceptQuotaMembers(std::max(listed, 1U), std::max(alive, 1U));
+  acceptQuotaMembers(std::max(listed, 1U), std::max(alive, 1U),
+                     step.Now);
 }
 
 } // namespace guavasail
--- a/src/reducer_quota.cpp
+++ b/src/reducer_quota.cpp
@@ -26,12 +26,13 @@
   Quotas.setLimits(limits, !Members.view().ExpectsOthers, step.Now);
 }
 
-void ReducerState::acceptQuotaMembers(uint32_t listed, uint32_t alive) {
+void ReducerState::acceptQuotaMembers(uint32_t listed, uint32_t alive,
+                                      Instant now) {
   if (listed == QuotaListed && alive == QuotaAlive)
     return;
   QuotaListed = listed;
   QuotaAlive = alive;
-  Quotas.setShare(static_cast<double>(alive) / listed);
+  Quotas.setShare(static_cast<double>(alive) / listed, now);
   Quotas.setOwnShare(AlonePart / listed);
 }
 
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -134,7 +134,7 @@
   void onPeer(VmHandle from, const QuotaAsk &message, Step &step);
   void onPeer(VmHandle from, const QuotaReply &message, Step &step);
   void acceptQuotas(Step &step);
-  void acceptQuotaMembers(uint32_t listed, uint32_t alive);
+  void acceptQuotaMembers(uint32_t listed, uint32_t alive, Instant now);
   void askQuota(Request &request, Step &step);
   void takeQuota(const QuotaReply &reply, VmHandle from, Step &step);
   void flushQuotas(Step &step);
