--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -123,13 +123,13 @@
     if (!framedOnce(Head))
       ec = http::error::bad_transfer_encoding;
     Head.Chunked = this->chunked();
-    Head.KeepAlive = this->keep_alive();
-  }
-  void on_body_init_impl(const boost::optional<std::uint64_t> &length,
-                         error_code &) override {
-    if (length)
+    if (auto length = this->content_length())
       Head.Length = *length;
+    Head.KeepAlive = this->keep_alive();
   }
+  // Called only once body bytes have come; the length is known before.
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         error_code &) override {}
   size_t on_body_impl(string_view body, error_code &) override {
     Body.append(body.data(), body.size());
     return body.size();
