--- a/include/guavasail/dispatch.h
+++ b/include/guavasail/dispatch.h
@@ -9,6 +9,7 @@
 #include "guavasail/handle.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace guavasail {
 
@@ -79,6 +80,9 @@
   Unused,
 };
 
+/// \returns the stable name of \p outcome.
+std::string_view placeOutcomeName(PlaceOutcome outcome);
+
 /// Asks for a slot. Asking again with the same `Request` and `Ordinal` renews
 /// the place in the queue.
 struct PlaceAsk {
--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -103,6 +103,8 @@
   Placed,
   /// The request waits in its service's queue.
   Queued,
+  /// An attempt ended without an answer that can be passed on.
+  Failed,
   /// Another attempt follows a failed one.
   Repeated,
   /// An answer is unusually late; another instance is asked for.
@@ -124,6 +126,7 @@
   VmHandle Vm;
   uint32_t Attempt = 0;
   uint32_t Status = 0;
+  PlaceOutcome Outcome = PlaceOutcome::Ok;
   /// Time since the request arrived, or what it waited for.
   Duration Elapsed{};
   Duration Wait{};
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -342,8 +342,8 @@
 }
 void Daemon::on(const Decided &effect) {
   static constexpr std::string_view Names[] = {
-      "request-placed",  "request-queued", "request-repeated",
-      "answer-overdue",  "owner-silent",   "request-answered"};
+      "request-placed", "request-queued", "attempt-failed", "request-repeated",
+      "answer-overdue", "owner-silent",   "request-answered"};
   const ReducerState &state = Decisions.state();
   const Exchange *exchange = Exchanges.find(effect.Request);
   auto name = [&](auto handle) -> std::string_view {
@@ -364,6 +364,7 @@
            {"owner", owner},
            {"attempt", static_cast<int64_t>(effect.Attempt)},
            {"status", static_cast<int64_t>(effect.Status)},
+           {"outcome", placeOutcomeName(effect.Outcome)},
            {"elapsed_ms", millis(effect.Elapsed)},
            {"wait_ms", millis(effect.Wait)},
            {"version", static_cast<int64_t>(effect.Version)}});
--- a/src/dispatch_health.cpp
+++ b/src/dispatch_health.cpp
@@ -42,6 +42,13 @@
 
 } // namespace
 
+std::string_view placeOutcomeName(PlaceOutcome outcome) {
+  static constexpr std::array<std::string_view, 8> Names = {
+      "ok",          "error", "fault",     "timed-out",
+      "unreachable", "shed",  "cancelled", "unused"};
+  return Names[static_cast<size_t>(outcome)];
+}
+
 double SeatHealth::badness(Instant now) const {
   return decayed(Badness, BadnessAt, now);
 }
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -114,10 +114,7 @@
   if (event.Shed || again) {
     step.Effects.push(CancelAttempt{request.Current});
     finishPlace(request, placeOutcomeOf(event), step);
-    // A refusal has arrived at the instance too, so it counts as a repeat.
-    bool ran = !event.Shed;
-    tryAgain(request, ran, RefusalKind::Overloaded, step);
-    return;
+    return tryAgain(request, !event.Shed, true, RefusalKind::Overloaded, step);
   }
   request.Outcome = placeOutcomeOf(event);
   request.Phase = RequestPhase::Relaying;
@@ -158,7 +155,7 @@
     return closeRequest(*request, step);
   }
   if (owners)
-    return tryAgain(*request, event.MayHaveRun,
+    return tryAgain(*request, event.MayHaveRun, event.MayHaveRun,
                     RefusalKind::InstanceUnreachable, step);
   retryOrRefuse(*request, RefusalKind::InstanceUnreachable, step);
 }
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -100,6 +100,8 @@
                   refusalAfterFault(request, RefusalKind::DeadlineTooShort),
                   step);
   request.Phase = RequestPhase::Placing;
+  // Later events of the attempt before are none of this request's any more.
+  request.Current = {request.Self, 0};
   request.Queued = false;
   request.AsksLost = 0;
   request.AskedAt = step.Now;
@@ -229,7 +231,7 @@
   request.Current = {request.Self, ++request.Attempts};
   if (!known) {
     finishPlace(request, PlaceOutcome::Unused, step);
-    return tryAgain(request, false, RefusalKind::NoInstance, step);
+    return tryAgain(request, false, false, RefusalKind::NoInstance, step);
   }
   Lane lane = Instances.takeLane(instance);
   request.Phase = RequestPhase::Trying;
@@ -257,14 +259,16 @@
   step.Effects.push(CancelAttempt{request->Current});
   finishPlace(*request, PlaceOutcome::TimedOut, step);
   request->MayHaveRun = true;
-  tryAgain(*request, true, RefusalKind::AnswerIncomplete, step);
+  tryAgain(*request, true, true, RefusalKind::AnswerIncomplete, step);
 }
 
 /// Starts another attempt if that is allowed, and refuses the request if not.
-/// \param arrived the attempt before may have reached an instance.
-void ReducerState::tryAgain(Request &request, bool arrived, RefusalKind kind,
-                            Step &step) {
-  request.Runs += arrived ? 1 : 0;
+/// \param ran the attempt before may have run.
+/// \param arrived it may have reached an instance, which counts as a repeat
+/// even if the instance refused it.
+void ReducerState::tryAgain(Request &request, bool ran, bool arrived,
+                            RefusalKind kind, Step &step) {
+  request.Runs += ran ? 1 : 0;
   request.RepeatNext = arrived;
   bool allowed = mayRepeat(request) && request.Runs < mostRuns(request) &&
                  request.Attempts < MostTries;
@@ -280,6 +284,10 @@
   if (!request.HoldsSlot)
     return;
   request.HoldsSlot = false;
+  request.Outcome = outcome;
+  if (outcome != PlaceOutcome::Ok && outcome != PlaceOutcome::Unused)
+    decided(DecisionKind::Failed, request, step,
+            step.Now - request.AttemptStarted);
   PlaceDone done;
   done.Service = taskKey(Catalog.name(request.Service));
   done.Request = request.Self;
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -147,6 +147,7 @@
   it.Vm = request.Asked;
   it.Attempt = request.Attempts;
   it.Status = request.Status;
+  it.Outcome = request.Outcome;
   it.Elapsed = step.Now - request.Arrived;
   it.Wait = wait;
   it.Version = Catalog.version();
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -126,7 +126,8 @@
   [[nodiscard]] PlaceAsk placeAskOf(const Request &request, Instant now) const;
   [[nodiscard]] VmHandle taskOwner(uint64_t key, Instant now) const;
   void passOver(VmHandle vm, Step &step);
-  void tryAgain(Request &request, bool arrived, RefusalKind kind, Step &step);
+  void tryAgain(Request &request, bool ran, bool arrived, RefusalKind kind,
+                Step &step);
   void takeAnswer(Request &request, const AttemptAnswered &event, Step &step);
   [[nodiscard]] uint32_t mostRuns(const Request &request) const;
 
