--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -11,8 +11,11 @@
 
 /// Separates the keys of tasks from those of other owned things.
 constexpr uint64_t TaskPurpose = 0x7461736b;
-/// Time for the answer of an owner in another zone, its queue excluded.
-constexpr Duration OwnerTimeout = std::chrono::milliseconds(150);
+/// Time for the answer of an owner in another zone, its queue excluded: a lost
+/// packet is sent again after 200 ms at the earliest.
+constexpr Duration OwnerTimeout = std::chrono::milliseconds(320);
+/// Answers in a row that may be missed before an owner is passed over.
+constexpr uint8_t MostSilences = 2;
 /// Time between two renewals of a place in a queue.
 constexpr Duration RenewPeriod = std::chrono::milliseconds(400);
 /// An owner that did not answer is passed over for this time.
@@ -44,12 +47,13 @@
   acceptQuotas(step);
 }
 
-VmHandle ReducerState::taskOwner(uint64_t key, Instant now) const {
+VmHandle ReducerState::taskOwner(uint64_t key, VmHandle skip,
+                                 Instant now) const {
   MemberView members = Members.view();
   auto eligible = [&](const VmEntry &vm) {
     auto index = static_cast<size_t>(&vm - members.Vms.data());
     bool passed = index < PassedOver.size() && now < PassedOver[index];
-    return mayOwn(vm) && !passed;
+    return mayOwn(vm) && !passed && index != skip.Value;
   };
   VmHandle owner = rendezvousOwner(key ^ TaskPurpose, members, eligible);
   return owner.valid() ? owner : members.Self;
@@ -63,6 +67,22 @@
   PassedOver[vm.Value] = step.Now + PassOverTime;
 }
 
+void ReducerState::noteSilent(VmHandle vm, Step &step) {
+  if (!vm.valid())
+    return;
+  if (Silences.size() <= vm.Value)
+    Silences.resize(vm.Value + 1);
+  if (++Silences[vm.Value] < MostSilences)
+    return;
+  Silences[vm.Value] = 0;
+  passOver(vm, step);
+}
+
+void ReducerState::noteHeard(VmHandle vm) {
+  if (vm.valid() && vm.Value < Silences.size())
+    Silences[vm.Value] = 0;
+}
+
 uint32_t ReducerState::mostRuns(const Request &request) const {
   uint32_t own = Catalog.at(request.Route).Attempts;
   return own > 0 ? own : Bounds.Attempts;
@@ -104,6 +124,7 @@
   request.Current = {request.Self, 0};
   request.Queued = false;
   request.AsksLost = 0;
+  request.Silent = {};
   request.AskedAt = step.Now;
   sendPlaceAsk(request, {}, step);
 }
@@ -113,8 +134,9 @@
   VmHandle self = Members.view().Self;
   PlaceAsk ask = placeAskOf(request, step.Now);
   if (!owner.valid())
-    owner = request.AsksLost < MostOwners ? taskOwner(ask.Service, step.Now)
-                                          : self;
+    owner = request.AsksLost < MostOwners
+                ? taskOwner(ask.Service, request.Silent, step.Now)
+                : self;
   request.Asked = owner;
   if (owner == self) {
     Dispatch.onAsk(self, Zone, ask, step.Now);
@@ -142,7 +164,8 @@
     return sendPlaceAsk(*request, request->Asked, step);
   }
   decided(DecisionKind::OwnerSilent, *request, step);
-  passOver(request->Asked, step);
+  noteSilent(request->Asked, step);
+  request->Silent = request->Asked;
   ++request->AsksLost;
   sendPlaceAsk(*request, {}, step);
 }
@@ -161,6 +184,7 @@
 
 void ReducerState::onPeer(VmHandle from, const PlaceReply &message,
                           Step &step) {
+  noteHeard(from);
   Request *request = Requests.find(message.Request);
   bool waits = request && request->Phase == RequestPhase::Placing &&
                request->Attempts + 1 == message.Ordinal &&
--- a/src/reducer_quota.cpp
+++ b/src/reducer_quota.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Time for the answer of an owner in another zone, its short queue included.
-constexpr Duration OwnerTimeout = std::chrono::milliseconds(300);
+constexpr Duration OwnerTimeout = std::chrono::milliseconds(450);
 /// Part of its share that a VM gives out alone. Others may give out the same
 /// rate at that time, and the rate's bound leaves a tenth for all of them.
 constexpr double AlonePart = 0.5;
@@ -44,7 +44,7 @@
   }
   request.Phase = RequestPhase::Asking;
   VmHandle self = Members.view().Self;
-  request.Asked = taskOwner(key, step.Now);
+  request.Asked = taskOwner(key, {}, step.Now);
   QuotaAsk ask{key, request.Self};
   if (request.Asked == self) {
     Quotas.ask(self, ask, step.Now);
@@ -85,7 +85,7 @@
   if (!request || request->Phase != RequestPhase::Asking)
     return;
   decided(DecisionKind::OwnerSilent, *request, step);
-  passOver(request->Asked, step);
+  noteSilent(request->Asked, step);
   uint64_t key = rendezvousKey(Catalog.name(request->Workspace), 0);
   takeQuota(Quotas.askAlone({key, request->Self}, step.Now), request->Asked,
             step);
@@ -115,6 +115,7 @@
 
 void ReducerState::onPeer(VmHandle from, const QuotaReply &message,
                           Step &step) {
+  noteHeard(from);
   takeQuota(message, from, step);
 }
 
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -125,8 +125,12 @@
   void onPlaceTimeout(const Timer &timer, Step &step);
   void onPatience(const Timer &timer, Step &step);
   [[nodiscard]] PlaceAsk placeAskOf(const Request &request, Instant now) const;
-  [[nodiscard]] VmHandle taskOwner(uint64_t key, Instant now) const;
+  /// \param skip a VM that did not answer, invalid for none.
+  [[nodiscard]] VmHandle taskOwner(uint64_t key, VmHandle skip,
+                                   Instant now) const;
   void passOver(VmHandle vm, Step &step);
+  void noteSilent(VmHandle vm, Step &step);
+  void noteHeard(VmHandle vm);
   void tryAgain(Request &request, bool ran, bool arrived, RefusalKind kind,
                 Step &step);
   void takeAnswer(Request &request, const AttemptAnswered &event, Step &step);
@@ -205,6 +209,8 @@
   std::unordered_map<uint64_t, InstanceHandle> InstanceOfKey;
   /// When a VM that did not answer may be asked again, by handle.
   std::vector<Instant> PassedOver;
+  /// Answers in a row that a VM did not give, by handle.
+  std::vector<uint8_t> Silences;
   /// VMs whose slots were given back since they went, by handle.
   std::vector<bool> Dropped;
   Instant NextFleetCheck{};
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -53,6 +53,8 @@
   VmHandle Asked;
   /// Asks that were not answered.
   uint32_t AsksLost = 0;
+  /// The VM that did not answer last.
+  VmHandle Silent;
   /// The asked VM holds the request in its queue.
   bool Queued = false;
   /// A slot was granted by `Asked` and not given back.
