Overdue answers: ask for a second instance while the first goes on

Change: the first attempt goes on until a slot is granted at once; a draining VM asks the next owner.

--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -122,7 +122,7 @@
   request.Phase = RequestPhase::Placing;
   // Later events of the attempt before are none of this request's any more.
   request.Current = {request.Self, 0};
-  request.Queued = false;
+  request.Queued = request.Hedging = false;
   request.AsksLost = 0;
   request.Silent = {};
   request.AskedAt = step.Now;
@@ -186,22 +186,61 @@
                           Step &step) {
   noteHeard(from);
   Request *request = Requests.find(message.Request);
-  bool waits = request && request->Phase == RequestPhase::Placing &&
-               request->Attempts + 1 == message.Ordinal &&
+  bool asked = request && request->Attempts + 1 == message.Ordinal &&
                request->Asked == from;
-  if (waits)
+  if (asked && request->Phase == RequestPhase::Placing)
     return takePlace(*request, from, message, step);
-  if (message.Verdict != PlaceVerdict::Granted)
-    return;
-  // The request went another way in the meantime.
+  if (asked && request->Phase == RequestPhase::Trying && request->Hedging)
+    return takeHedge(*request, from, message, step);
+  if (message.Verdict == PlaceVerdict::Granted)
+    returnPlace(from, message, step);
+}
+
+/// Gives a slot back that came too late.
+void ReducerState::returnPlace(VmHandle from, const PlaceReply &reply,
+                               Step &step) {
   PlaceDone done;
-  done.Request = message.Request;
-  done.Ordinal = message.Ordinal;
-  done.Instance = message.Instance;
-  auto it = InstanceOfKey.find(message.Instance);
+  done.Request = reply.Request;
+  done.Ordinal = reply.Ordinal;
+  done.Instance = reply.Instance;
+  auto it = InstanceOfKey.find(reply.Instance);
   if (it != InstanceOfKey.end())
     done.Service = taskKey(Catalog.name(Catalog.at(it->second).Service));
-  step.Effects.push(SendPeer{from, done});
+  if (from == Members.view().Self)
+    Dispatch.onDone(from, done, step.Now);
+  else
+    step.Effects.push(SendPeer{from, done});
+}
+
+/// Moves the request to another instance if one has a free slot at once. To
+/// wait for one would give up an answer that may be near.
+void ReducerState::takeHedge(Request &request, VmHandle from,
+                             const PlaceReply &reply, Step &step) {
+  request.Hedging = false;
+  if (reply.Verdict == PlaceVerdict::Queued) {
+    PlaceDone done;
+    done.Service = taskKey(Catalog.name(request.Service));
+    done.Request = reply.Request;
+    done.Ordinal = reply.Ordinal;
+    done.Outcome = PlaceOutcome::Cancelled;
+    if (from == Members.view().Self)
+      Dispatch.onDone(from, done, step.Now);
+    else
+      step.Effects.push(SendPeer{from, done});
+    return;
+  }
+  if (reply.Verdict != PlaceVerdict::Granted)
+    return;
+  auto it = InstanceOfKey.find(reply.Instance);
+  if (it == InstanceOfKey.end() || it->second == request.Instance)
+    return returnPlace(from, reply, step);
+  step.Effects.push(CancelAttempt{request.Current});
+  finishPlace(request, PlaceOutcome::TimedOut, step);
+  request.MayHaveRun = true;
+  ++request.Runs;
+  request.AskedAt = step.Now;
+  decided(DecisionKind::Repeated, request, step);
+  takePlace(request, from, reply, step);
 }
 
 void ReducerState::takePlace(Request &request, VmHandle from,
@@ -212,6 +251,7 @@
     InstanceHandle instance =
         it == InstanceOfKey.end() ? InstanceHandle{} : it->second;
     request.HoldsSlot = true;
+    request.Granter = from;
     return startOn(request, instance, reply, step);
   }
   case PlaceVerdict::Queued:
@@ -234,7 +274,7 @@
     return refuse(request, refusalAfterFault(request, RefusalKind::Overloaded),
                   step, NoSlotRetry);
   case PlaceVerdict::NotOwner:
-    if (from == Members.view().Self)
+    if (from == Members.view().Self && !Draining)
       return refuse(request,
                     refusalAfterFault(request, RefusalKind::NoInstance), step,
                     NoSlotRetry);
@@ -260,6 +300,7 @@
   Lane lane = Instances.takeLane(instance);
   request.Phase = RequestPhase::Trying;
   request.Load = {};
+  request.Hedging = false;
   std::string_view workspace;
   if (request.Workspace.valid())
     workspace = Catalog.name(request.Workspace);
@@ -280,10 +321,17 @@
     return;
   decided(DecisionKind::Overdue, *request, step,
           step.Now - request->AttemptStarted);
-  step.Effects.push(CancelAttempt{request->Current});
-  finishPlace(*request, PlaceOutcome::TimedOut, step);
-  request->MayHaveRun = true;
-  tryAgain(*request, true, true, RefusalKind::AnswerIncomplete, step);
+  request->Hedging = true;
+  request->RepeatNext = true;
+  PlaceAsk ask = placeAskOf(*request, step.Now);
+  VmHandle self = Members.view().Self;
+  request->Asked = taskOwner(ask.Service, {}, step.Now);
+  if (request->Asked != self) {
+    step.Effects.push(SendPeer{request->Asked, ask});
+    return;
+  }
+  Dispatch.onAsk(self, Zone, ask, step.Now);
+  flushPlaces(step);
 }
 
 /// Starts another attempt if that is allowed, and refuses the request if not.
@@ -325,11 +373,11 @@
   done.Running = request.Load.SlotsInUse;
   done.Waiting = request.Load.Waiting;
   VmHandle self = Members.view().Self;
-  if (request.Asked == self) {
+  if (request.Granter == self) {
     Dispatch.onDone(self, done, step.Now);
     return flushPlaces(step);
   }
-  step.Effects.push(SendPeer{request.Asked, done});
+  step.Effects.push(SendPeer{request.Granter, done});
   Dispatch.observe(self, done, step.Now);
 }
 
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -117,6 +117,9 @@
   void sendPlaceAsk(Request &request, VmHandle owner, Step &step);
   void takePlace(Request &request, VmHandle from, const PlaceReply &reply,
                  Step &step);
+  void takeHedge(Request &request, VmHandle from, const PlaceReply &reply,
+                 Step &step);
+  void returnPlace(VmHandle from, const PlaceReply &reply, Step &step);
   void startOn(Request &request, InstanceHandle instance,
                const PlaceReply &reply, Step &step);
   void finishPlace(Request &request, PlaceOutcome outcome, Step &step);
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -57,8 +57,11 @@
   VmHandle Silent;
   /// The asked VM holds the request in its queue.
   bool Queued = false;
-  /// A slot was granted by `Asked` and not given back.
+  /// A slot was granted by `Granter` and not given back.
   bool HoldsSlot = false;
+  VmHandle Granter;
+  /// Another instance was asked for while the attempt goes on.
+  bool Hedging = false;
   /// The attempt before may have reached an instance.
   bool RepeatNext = false;
   /// Attempts that may have reached an instance.
