Queue: in time means in time with a margin; late requests only while half of their time can pass

A list of equal lengths was taken for one length. Change: margins in usual times; late requests wait only if half of their time is enough; lists of lengths are malformed. Two good answers end a trial.

--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -5,9 +5,9 @@
 
 #include "guavasail/catalog.h"
 #include "guavasail/clock.h"
+#include "guavasail/header_names.h"
 #include "guavasail/limits.h"
 #include "guavasail/member.h"
-#include "guavasail/header_names.h"
 
 #include <boost/outcome/result.hpp>
 #include <cstdint>
--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -179,8 +179,7 @@
 std::string BackHttp::requestHead(const Connection &it,
                                   const Exchange &exchange) const {
   std::string head = exchange.Method + " " + exchange.Target + " HTTP/1.1\r\n";
-  appendField(head, "host:",
-              Names.PassHost ? exchange.Host : it.Spec.Address);
+  appendField(head, "host:", Names.PassHost ? exchange.Host : it.Spec.Address);
   for (const HeaderField &field : exchange.Fields)
     appendField(head, field.Name, field.Value);
   uint64_t now = loopMillis(Loop);
@@ -297,11 +296,10 @@
 bool BackHttp::isGenuine(const MessageHead &head,
                          const Exchange &exchange) const {
   std::string idName = Names.RequestId + ":";
-  if (Names.EchoedId && !exchange.CallerId.empty() &&
-      (head.count(idName) != 1))
+  if (Names.EchoedId && !exchange.CallerId.empty() && (head.count(idName) != 1))
     return false;
-  bool success = head.Status >= FirstFinalStatus &&
-                 head.Status < FirstRedirectStatus;
+  bool success =
+      head.Status >= FirstFinalStatus && head.Status < FirstRedirectStatus;
   if (Names.Signature.empty() || !success)
     return true;
   bool encoded = head.count(EncodingName) > 0 &&
@@ -332,10 +330,9 @@
   if (!clean || !isGenuine(head, exchange))
     return false;
   it.Event.Status = head.Status;
-  it.Event.Misdirected = head.Status == MisdirectedStatus &&
-                         !Names.ExpectedInstance.empty();
-  it.Event.Shed =
-      it.Event.Misdirected || head.count(Names.NotRun + ":") > 0;
+  it.Event.Misdirected =
+      head.Status == MisdirectedStatus && !Names.ExpectedInstance.empty();
+  it.Event.Shed = it.Event.Misdirected || head.count(Names.NotRun + ":") > 0;
   it.Event.Load = parseLoad(head.field(Names.Load + ":"),
                             head.count(Names.Leaving + ":") > 0);
   auto seconds = parseNumber<uint32_t>(head.field(RetryAfterName));
--- a/src/back_http.h
+++ b/src/back_http.h
@@ -8,8 +8,8 @@
 #include "front_end.h"
 #include "guavasail/catalog.h"
 #include "guavasail/effect.h"
-#include "guavasail/limits.h"
 #include "guavasail/header_names.h"
+#include "guavasail/limits.h"
 #include "http_reader.h"
 #include "tcp_stream.h"
 
--- a/src/catalog_index.cpp
+++ b/src/catalog_index.cpp
@@ -180,8 +180,7 @@
     bool border = n == path.size() || path[n] == '/' || path[n - 1] == '/';
     if (!border)
       continue;
-    auto ofHost =
-        routeOf(std::string_view(place).substr(0, host.size() + n));
+    auto ofHost = routeOf(std::string_view(place).substr(0, host.size() + n));
     if (ofHost.valid())
       return ofHost;
     if (auto ofAny = routeOf(path.substr(0, n)); ofAny.valid())
--- a/src/config_keeper.cpp
+++ b/src/config_keeper.cpp
@@ -124,8 +124,8 @@
   }
   // A head that names its own change only comes from a source without a
   // history of changes, where versions may skip numbers.
-  bool single = !Head.Recent.empty() && (Head.Version == delta.From + 1 ||
-                                         Head.Recent.size() == 1);
+  bool single = !Head.Recent.empty() &&
+                (Head.Version == delta.From + 1 || Head.Recent.size() == 1);
   if (!single)
     return Log.clear();
   delta.Change = Head.Recent.back();
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -129,8 +129,8 @@
     Store->close();
   if (Back)
     Back->close();
-  if (auto *plain = dynamic_cast<FrontPlain *>(Front.get()))
-    plain->close();
+  if (Front)
+    Front->close();
   uv_handle_t *own[] = {reinterpret_cast<uv_handle_t *>(&Timer),
                         reinterpret_cast<uv_handle_t *>(&Prepare),
                         reinterpret_cast<uv_handle_t *>(&Check),
@@ -205,9 +205,9 @@
   Back = std::make_unique<BackHttp>(Loop, Config.Bounds, Config.Headers,
                                     Exchanges, *this);
   if (Config.Daemon.TlsCertificate.empty()) {
-    Front = std::make_unique<FrontPlain>(
-        Loop, Config, Exchanges, *Back, static_cast<EventSink &>(*this),
-        [this] { return metricsText(); });
+    Front = std::make_unique<FrontPlain>(Loop, Config, Exchanges, *Back,
+                                         static_cast<EventSink &>(*this),
+                                         [this] { return metricsText(); });
   } else {
     if (!startLibrary())
       return StartFault::LoopFailed;
@@ -346,7 +346,7 @@
 }
 void Daemon::on(const Decided &effect) {
   static constexpr std::string_view Names[] = {
-      "request-placed", "request-queued", "attempt-failed", "request-repeated",
+      "request-placed", "request-queued", "attempt-failed",  "request-repeated",
       "answer-overdue", "owner-silent",   "request-answered"};
   const ReducerState &state = Decisions.state();
   const Exchange *exchange = Exchanges.find(effect.Request);
--- a/src/dispatch_health.cpp
+++ b/src/dispatch_health.cpp
@@ -84,12 +84,15 @@
   case PlaceOutcome::Ok: {
     // What was sent before the ejection says nothing of now.
     bool sentSince = now - took >= EjectedAt;
+    // One good answer may be luck: a failing instance still gives some.
+    bool again = ProvenAt > EjectedAt;
     ProvenAt = std::max(ProvenAt, now - took);
     Badness = badness(now) * GoodFactor;
     BadnessAt = now;
     if (sentSince) {
-      Proven = true;
-      Level = 0;
+      if (again)
+        Level = 0;
+      Proven |= again;
       EjectedUntil = std::min(EjectedUntil, now);
       std::erase_if(Paths, [&](const Path &it) { return it.Vm == vm; });
     }
@@ -139,9 +142,8 @@
 }
 
 void SeatHealth::breakPath(VmHandle vm, Instant now) {
-  std::erase_if(Paths, [&](const Path &it) {
-    return it.Vm == vm || it.Until <= now;
-  });
+  std::erase_if(Paths,
+                [&](const Path &it) { return it.Vm == vm || it.Until <= now; });
   Paths.push_back({vm, now + PathDetour});
 }
 
--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -96,9 +96,8 @@
     seat->Leaving = entry.Spec.Leaving;
     seat->Cold = entry.Spec.Cold;
   }
-  std::erase_if(Seats, [](const Seat &it) {
-    return !it.Present && it.Grants.empty();
-  });
+  std::erase_if(
+      Seats, [](const Seat &it) { return !it.Present && it.Grants.empty(); });
 }
 
 Seat *DispatchPool::find(uint64_t key) {
@@ -149,8 +148,8 @@
   case SeatState::Sound:
     return true;
   case SeatState::Trial: {
-    bool careful = input.Repeat ||
-                   (!input.Idempotent && !seat.Health.openTrial(now));
+    bool careful =
+        input.Repeat || (!input.Idempotent && !seat.Health.openTrial(now));
     return seat.Grants.empty() && (!careful || input.Pressed);
   }
   case SeatState::Ejected:
@@ -249,9 +248,8 @@
   seat->Health.note(done.Outcome, vm, done.Took, Typical, now);
   if (done.Outcome == PlaceOutcome::Ok) {
     Duration counted = std::min(done.Took, Typical * TypicalCut);
-    Typical = std::max(
-        LeastTypical, scaled(Typical, 1 - TypicalWeight) +
-                          scaled(counted, TypicalWeight));
+    Typical = std::max(LeastTypical, scaled(Typical, 1 - TypicalWeight) +
+                                         scaled(counted, TypicalWeight));
   }
   if (done.Outcome == PlaceOutcome::Shed)
     seat->FullUntil = now + FullPause;
--- a/src/dispatch_queue.cpp
+++ b/src/dispatch_queue.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Part of the usual time that an answer needs at least.
-constexpr double LeastTime = 0.6;
+/// Usual times that have to be left for an answer to be in time; about a third
+/// of the answers take longer than the usual time.
+constexpr double UsefulTime = 1.15;
 /// Usual times that are kept free before a deadline when a request is let in.
 constexpr double SafeTime = 1.3;
 constexpr Duration LeastRetry = std::chrono::milliseconds(150);
@@ -44,19 +45,23 @@
                                                const QueueLoad &load,
                                                Instant now) const {
   Duration needed = scaled(load.Typical, SafeTime);
-  Instant usefulFrom = now + load.Typical;
+  Duration useful = scaled(load.Typical, UsefulTime);
+  Instant usefulFrom = now + useful;
   auto ahead = static_cast<size_t>(
       std::count_if(Entries.begin(), Entries.end(), [&](const QueueEntry &it) {
         return it.UsefulUntil >= usefulFrom && it.Ask.Rank <= entry.Ask.Rank;
       }));
-  bool useful = now + waitFor(ahead, load) + load.Typical <= entry.UsefulUntil;
-  if (useful && Kind == QueueKind::Useful)
+  bool inTime = now + waitFor(ahead, load) + useful <= entry.UsefulUntil;
+  if (inTime && Kind == QueueKind::Useful)
     return std::nullopt;
-  Duration wait = waitFor(Entries.size(), load) + needed;
+  // Late requests get what is left over. Half of their time may pass before
+  // anything is.
   Duration left = entry.Deadline - now;
-  if (wait <= left && Entries.size() < MostEntries)
+  Duration usable = Kind == QueueKind::Useful ? left / 2 : left;
+  Duration wait = waitFor(Entries.size(), load) + needed;
+  if (wait <= usable && Entries.size() < MostEntries)
     return std::nullopt;
-  return std::clamp(wait - left + load.Typical / 2, LeastRetry, MostRetry);
+  return std::clamp(wait - usable + load.Typical / 2, LeastRetry, MostRetry);
 }
 
 void DispatchQueue::push(QueueEntry entry) {
@@ -107,7 +112,7 @@
 std::span<const uint32_t> DispatchQueue::order(const QueueLoad &load,
                                                Instant now) {
   const Strategy &strategy = Strategies[static_cast<size_t>(Kind)];
-  Instant usefulFrom = now + scaled(load.Typical, LeastTime);
+  Instant usefulFrom = now + scaled(load.Typical, UsefulTime);
   Sorted.resize(Entries.size());
   std::iota(Sorted.begin(), Sorted.end(), 0U);
   std::stable_sort(Sorted.begin(), Sorted.end(), [&](uint32_t a, uint32_t b) {
@@ -125,7 +130,7 @@
 
 std::optional<QueueEntry> DispatchQueue::takeHopeless(const QueueLoad &load,
                                                       Instant now) {
-  Instant finish = now + scaled(load.Typical, LeastTime);
+  Instant finish = now + load.Typical;
   auto it = std::find_if(
       Entries.begin(), Entries.end(),
       [&](const QueueEntry &entry) { return entry.Deadline < finish; });
--- a/src/dispatch_queue.h
+++ b/src/dispatch_queue.h
@@ -41,9 +41,8 @@
 
   /// Decides whether \p entry may wait.
   /// \returns nothing if it may, or the time after which it may come again.
-  [[nodiscard]] std::optional<Duration> refusal(const QueueEntry &entry,
-                                                const QueueLoad &load,
-                                                Instant now) const;
+  [[nodiscard]] std::optional<Duration>
+  refusal(const QueueEntry &entry, const QueueLoad &load, Instant now) const;
 
   void push(QueueEntry entry);
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -35,9 +35,10 @@
   });
   if (ended)
     return;
-  auto it = std::find_if(
-      Entries.begin(), Entries.end(),
-      [&](const Entry &item) { return item.Fingerprint == fingerprint; });
+  auto it =
+      std::find_if(Entries.begin(), Entries.end(), [&](const Entry &item) {
+        return item.Fingerprint == fingerprint;
+      });
   if (it == Entries.end()) {
     if (Entries.size() >= MostCrashEntries)
       Entries.erase(Entries.begin());
@@ -126,18 +127,22 @@
 bool Dispatcher::grant(Service &service, const QueueEntry &entry, bool pressed,
                        Instant now) {
   const PlaceAsk &ask = entry.Ask;
-  Seat *seat = service.Pool.choose({entry.Vm, entry.Zone, ask.Avoid,
-                                    ask.Idempotent, ask.Large, ask.Repeat,
-                                    pressed},
-                                   now);
+  Seat *seat =
+      service.Pool.choose({entry.Vm, entry.Zone, ask.Avoid, ask.Idempotent,
+                           ask.Large, ask.Repeat, pressed},
+                          now);
   if (!seat)
     return false;
-  DispatchPool::take(*seat, {entry.Vm, ask.Request, ask.Ordinal, now,
-                             entry.Deadline, false});
+  DispatchPool::take(
+      *seat, {entry.Vm, ask.Request, ask.Ordinal, now, entry.Deadline, false});
   Duration useful = std::max(entry.UsefulUntil - now, Duration::zero());
   Out.push_back({entry.Vm,
-                 {ask.Request, ask.Ordinal, PlaceVerdict::Granted, seat->Key,
-                  {}, service.Pool.patience(useful, pressed)}});
+                 {ask.Request,
+                  ask.Ordinal,
+                  PlaceVerdict::Granted,
+                  seat->Key,
+                  {},
+                  service.Pool.patience(useful, pressed)}});
   return true;
 }
 
--- a/src/front_end.h
+++ b/src/front_end.h
@@ -52,6 +52,9 @@
     ServingReason = reason;
   }
 
+  /// Closes what keeps the loop alive, before the loop runs out.
+  virtual void close() {}
+
   /// \returns true while an answer's last bytes are on their way.
   [[nodiscard]] virtual bool ending() const = 0;
 
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -3,8 +3,8 @@
 #include "http_headers.h"
 #include "http_refusal.h"
 #include "http_request.h"
-#include "request_head.h"
 #include "log.h"
+#include "request_head.h"
 
 #include <algorithm>
 #include <array>
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -216,11 +216,10 @@
   Exchange &exchange = Exchanges.open();
   exchange.Caller = &it;
   it.Current = exchange.Handle;
-  takeArrival(it, head, exchange);
+  takeArrival(it, exchange);
 }
 
-void FrontPlain::takeArrival(Caller &it, const MessageHead &,
-                             Exchange &exchange) {
+void FrontPlain::takeArrival(Caller &it, Exchange &exchange) {
   const Limits &bounds = Config.Bounds;
   RequestArrived event;
   auto fault = takeRequestHead(it.Reader->head(), bounds, Config.Headers,
@@ -443,8 +442,7 @@
     it->Stream = nullptr;
     Back.release(exchange);
     Exchanges.close(exchange);
-    std::erase_if(Callers,
-                  [&](const auto &item) { return item.get() == it; });
+    std::erase_if(Callers, [&](const auto &item) { return item.get() == it; });
     return;
   case AnswerStage::Refusal:
     return writeRefusal(*it, exchange);
--- a/src/front_plain.h
+++ b/src/front_plain.h
@@ -41,8 +41,7 @@
   void bodyDrained(Exchange &exchange) override;
   void bodyWanted(Exchange &exchange) override;
 
-  /// Closes all connections and listening sockets.
-  void close();
+  void close() override;
 
 private:
   /// What a listening socket is for.
@@ -67,7 +66,7 @@
   void readOn(Caller &it);
   void beginRequest(Caller &it);
   void takeHead(Caller &it);
-  void takeArrival(Caller &it, const MessageHead &head, Exchange &exchange);
+  void takeArrival(Caller &it, Exchange &exchange);
   void takeBody(Caller &it, Exchange &exchange);
   void postArrival(Exchange &exchange, const RequestArrived &event);
   void refuseUnread(Caller &it, ReadFault fault);
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -31,8 +31,12 @@
 /// \returns true if \p head frames its body in one way only.
 bool framedOnce(const MessageHead &head) {
   size_t codings = head.count(CodingHeader);
+  // The parser takes a list of equal lengths for one of them.
+  std::string_view length = head.field(LengthHeader);
+  bool listed =
+      length.find_first_not_of("0123456789") != std::string_view::npos;
   if (codings == 0)
-    return head.count(LengthHeader) <= 1;
+    return head.count(LengthHeader) <= 1 && !listed;
   return codings == 1 && head.count(LengthHeader) == 0 &&
          equalIgnoringCase(head.field(CodingHeader), ChunkedCoding);
 }
@@ -134,8 +138,8 @@
     Body.append(body.data(), body.size());
     return body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, string_view,
-                            error_code &) override {}
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code &) override {
+  }
   size_t on_chunk_body_impl(std::uint64_t, string_view body,
                             error_code &) override {
     Body.append(body.data(), body.size());
--- a/src/http_refusal.cpp
+++ b/src/http_refusal.cpp
@@ -106,15 +106,15 @@
 
 void logRefusal(const Exchange &exchange) {
   uint32_t status = refusalStatus(exchange.Refusal);
-  logLine(status >= FirstErrorStatus ? LogLevel::Warning : LogLevel::Info,
-          "request-refused",
-          {{"request", requestId(exchange)},
-           {"refusal", refusalSpec(exchange.Refusal).Name},
-           {"status", static_cast<int64_t>(status)},
-           {"retry_after_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                exchange.RetryAfter)
-                .count()}});
+  logLine(
+      status >= FirstErrorStatus ? LogLevel::Warning : LogLevel::Info,
+      "request-refused",
+      {{"request", requestId(exchange)},
+       {"refusal", refusalSpec(exchange.Refusal).Name},
+       {"status", static_cast<int64_t>(status)},
+       {"retry_after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              exchange.RetryAfter)
+                              .count()}});
 }
 
 std::string retryAfterText(Duration wait, bool fraction) {
--- a/src/http_text.cpp
+++ b/src/http_text.cpp
@@ -83,8 +83,8 @@
   std::string out;
   if (!bytes.empty()) {
     std::array<char, 16> size{};
-    auto [end, ec] = std::to_chars(size.data(), size.data() + size.size(),
-                                   bytes.size(), 16);
+    auto [end, ec] =
+        std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
     out.append(size.data(), end).append("\r\n").append(bytes).append("\r\n");
   }
   if (last)
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -5,17 +5,17 @@
 #include <array>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/sinks/basic_sink_backend.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/make_shared.hpp>
 #include <ctime>
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
-#include <string>
 #include <poll.h>
+#include <string>
 #include <sys/time.h>
 #include <unistd.h>
 
@@ -51,9 +51,8 @@
 }
 
 /// Hands the library's records to the buffer.
-class BufferBackend
-    : public log::sinks::basic_formatted_sink_backend<
-          char, log::sinks::synchronized_feeding> {
+class BufferBackend : public log::sinks::basic_formatted_sink_backend<
+                          char, log::sinks::synchronized_feeding> {
 public:
   static void consume(const log::record_view &, const std::string &line) {
     if (!buffer().append(line))
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -189,9 +189,11 @@
 
 template <> struct PeerFields<InstanceSpec> {
   static constexpr std::tuple Members{
-      &InstanceSpec::Name, &InstanceSpec::Address, &InstanceSpec::Port,
-      &InstanceSpec::Zone, &InstanceSpec::Slots,   &InstanceSpec::Connections,
-      &InstanceSpec::Started, &InstanceSpec::Leaving, &InstanceSpec::Cold};
+      &InstanceSpec::Name,    &InstanceSpec::Address,
+      &InstanceSpec::Port,    &InstanceSpec::Zone,
+      &InstanceSpec::Slots,   &InstanceSpec::Connections,
+      &InstanceSpec::Started, &InstanceSpec::Leaving,
+      &InstanceSpec::Cold};
 };
 
 template <> struct PeerFields<ServiceSpec> {
@@ -207,10 +209,10 @@
 
 template <> struct PeerFields<RouteSpec> {
   static constexpr std::tuple Members{
-      &RouteSpec::Name,       &RouteSpec::Prefix,   &RouteSpec::Service,
-      &RouteSpec::Timeout,    &RouteSpec::Workspaces, &RouteSpec::Host,
-      &RouteSpec::Kind,       &RouteSpec::Splits,   &RouteSpec::Attempts,
-      &RouteSpec::Objective,  &RouteSpec::Priority, &RouteSpec::Anonymous};
+      &RouteSpec::Name,      &RouteSpec::Prefix,     &RouteSpec::Service,
+      &RouteSpec::Timeout,   &RouteSpec::Workspaces, &RouteSpec::Host,
+      &RouteSpec::Kind,      &RouteSpec::Splits,     &RouteSpec::Attempts,
+      &RouteSpec::Objective, &RouteSpec::Priority,   &RouteSpec::Anonymous};
 };
 
 template <> struct PeerFields<KeySpec> {
@@ -219,9 +221,9 @@
 
 template <> struct PeerFields<WorkspaceSpec> {
   static constexpr std::tuple Members{
-      &WorkspaceSpec::Name, &WorkspaceSpec::Weight,
+      &WorkspaceSpec::Name,          &WorkspaceSpec::Weight,
       &WorkspaceSpec::RatePerSecond, &WorkspaceSpec::Burst,
-      &WorkspaceSpec::Keys, &WorkspaceSpec::Rank};
+      &WorkspaceSpec::Keys,          &WorkspaceSpec::Rank};
 };
 
 template <> struct PeerFields<CatalogChunk> {
@@ -317,16 +319,15 @@
 template <> struct PeerFields<PlaceDone> {
   static constexpr uint32_t Kind = 52;
   static constexpr std::tuple Members{
-      &PlaceDone::Service,  &PlaceDone::Request,     &PlaceDone::Ordinal,
-      &PlaceDone::Instance, &PlaceDone::Outcome,     &PlaceDone::Took,
+      &PlaceDone::Service,     &PlaceDone::Request,   &PlaceDone::Ordinal,
+      &PlaceDone::Instance,    &PlaceDone::Outcome,   &PlaceDone::Took,
       &PlaceDone::Fingerprint, &PlaceDone::LoadKnown, &PlaceDone::Running,
       &PlaceDone::Waiting};
 };
 
 template <> struct PeerFields<QuotaAsk> {
   static constexpr uint32_t Kind = 53;
-  static constexpr std::tuple Members{&QuotaAsk::Workspace,
-                                      &QuotaAsk::Request};
+  static constexpr std::tuple Members{&QuotaAsk::Workspace, &QuotaAsk::Request};
 };
 
 template <> struct PeerFields<QuotaReply> {
--- a/src/presence.cpp
+++ b/src/presence.cpp
@@ -60,9 +60,8 @@
     NextEntry = step.Now;
     return;
   case PresenceOutcome::Failed:
-    NextEntry =
-        step.Now +
-        jittered(FirstPause * (1 << std::min(Failures++, MostDoublings)));
+    NextEntry = step.Now + jittered(FirstPause *
+                                    (1 << std::min(Failures++, MostDoublings)));
     return;
   }
 }
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -44,9 +44,10 @@
 }
 
 QuotaBook::Bucket *QuotaBook::find(uint64_t workspace) {
-  auto it = std::find_if(
-      Buckets.begin(), Buckets.end(),
-      [&](const Bucket &item) { return item.Limit.Key == workspace; });
+  auto it =
+      std::find_if(Buckets.begin(), Buckets.end(), [&](const Bucket &item) {
+        return item.Limit.Key == workspace;
+      });
   return it == Buckets.end() ? nullptr : &*it;
 }
 
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -109,8 +109,8 @@
   request.Load = event.Load;
   request.Status = event.Status;
   bool failed = event.Status >= FirstServerErrorStatus;
-  bool again = failed && mayRepeat(request) &&
-               request.Runs + 1 < mostRuns(request);
+  bool again =
+      failed && mayRepeat(request) && request.Runs + 1 < mostRuns(request);
   if (event.Shed || again) {
     step.Effects.push(CancelAttempt{request.Current});
     finishPlace(request, placeOutcomeOf(event), step);
@@ -148,8 +148,8 @@
   if (event.Fault == AttemptFault::Reset && !owners)
     reportCrash(*request, step);
   bool sent = outcomeOf(event.Fault) != OutcomeKind::Unreachable;
-  finishPlace(*request,
-              sent ? PlaceOutcome::Fault : PlaceOutcome::Unreachable, step);
+  finishPlace(*request, sent ? PlaceOutcome::Fault : PlaceOutcome::Unreachable,
+              step);
   if (request->Phase == RequestPhase::Relaying) {
     step.Effects.push(AbortAnswer{request->Self});
     return closeRequest(*request, step);
@@ -183,8 +183,8 @@
   if (Fleet == FleetKind::Owners && !request->Overtime) {
     // The instance ends the request at the same time and may say so.
     request->Overtime = true;
-    Timers.arm({step.Now + OvertimeLimit, timer.Attempt,
-                TimerKind::RequestDeadline});
+    Timers.arm(
+        {step.Now + OvertimeLimit, timer.Attempt, TimerKind::RequestDeadline});
     return;
   }
   Health.attemptTimedOut(request->Current, step.Now);
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -28,6 +28,8 @@
 constexpr Duration FleetCheck = std::chrono::milliseconds(250);
 /// Time within which a caller that another VM can serve should come again.
 constexpr Duration NoSlotRetry = std::chrono::milliseconds(300);
+/// The same for one whose repeat is not paid for; its return is a new request.
+constexpr Duration BudgetRetry = std::chrono::milliseconds(120);
 
 uint64_t taskKey(std::string_view name) { return rendezvousKey(name, 0); }
 
@@ -109,8 +111,7 @@
   ask.Remaining = request.Deadline - now;
   Duration objective =
       route.Objective > Duration::zero() ? route.Objective : route.Timeout;
-  ask.Useful =
-      std::max(request.Arrived + objective - now, Duration::zero());
+  ask.Useful = std::max(request.Arrived + objective - now, Duration::zero());
   return ask;
 }
 
@@ -144,9 +145,8 @@
   }
   step.Effects.push(SendPeer{owner, ask});
   Duration wait = request.Queued ? RenewPeriod : OwnerTimeout;
-  Timers.arm({step.Now + wait,
-              {request.Self, ask.Ordinal},
-              TimerKind::PlaceTimeout});
+  Timers.arm(
+      {step.Now + wait, {request.Self, ask.Ordinal}, TimerKind::PlaceTimeout});
 }
 
 void ReducerState::onPlaceTimeout(const Timer &timer, Step &step) {
@@ -272,7 +272,7 @@
                   step, reply.RetryAfter);
   case PlaceVerdict::BudgetSpent:
     return refuse(request, refusalAfterFault(request, RefusalKind::Overloaded),
-                  step, NoSlotRetry);
+                  step, BudgetRetry);
   case PlaceVerdict::NotOwner:
     if (from == Members.view().Self && !Draining)
       return refuse(request,
@@ -455,8 +455,7 @@
     alive += state == VmState::Alive ? 1 : 0;
   }
   flushPlaces(step);
-  acceptQuotaMembers(std::max(listed, 1U), std::max(alive, 1U),
-                     step.Now);
+  acceptQuotaMembers(std::max(listed, 1U), std::max(alive, 1U), step.Now);
 }
 
 } // namespace guavasail
--- a/src/reducer_quota.cpp
+++ b/src/reducer_quota.cpp
@@ -51,8 +51,8 @@
     return flushQuotas(step);
   }
   step.Effects.push(SendPeer{request.Asked, ask});
-  Timers.arm({step.Now + OwnerTimeout, {request.Self, 0},
-              TimerKind::QuotaTimeout});
+  Timers.arm(
+      {step.Now + OwnerTimeout, {request.Self, 0}, TimerKind::QuotaTimeout});
 }
 
 void ReducerState::takeQuota(const QuotaReply &reply, VmHandle from,
@@ -71,10 +71,9 @@
     passOver(from, step);
     if (++request->AsksLost > 1 || from == Members.view().Self)
       return takeQuota(
-          Quotas.askAlone(
-              {rendezvousKey(Catalog.name(request->Workspace), 0),
-               request->Self},
-              step.Now),
+          Quotas.askAlone({rendezvousKey(Catalog.name(request->Workspace), 0),
+                           request->Self},
+                          step.Now),
           from, step);
     return askQuota(*request, step);
   }
--- a/src/request_head.cpp
+++ b/src/request_head.cpp
@@ -37,8 +37,9 @@
 constexpr std::string_view ContinueValue = "100-continue";
 
 const MethodRow *findMethod(std::string_view name) {
-  auto it = std::find_if(Methods.begin(), Methods.end(),
-                         [&](const MethodRow &row) { return row.Name == name; });
+  auto it =
+      std::find_if(Methods.begin(), Methods.end(),
+                   [&](const MethodRow &row) { return row.Name == name; });
   return it == Methods.end() ? nullptr : &*it;
 }
 
@@ -132,9 +133,9 @@
                                       const HeaderNames &names,
                                       const KeyFinder &keys,
                                       Exchange &exchange) {
-  bool clean = std::all_of(
-      head.Fields.begin(), head.Fields.end(),
-      [](const HeaderField &it) { return isCleanValue(it.Value); });
+  bool clean =
+      std::all_of(head.Fields.begin(), head.Fields.end(),
+                  [](const HeaderField &it) { return isCleanValue(it.Value); });
   exchange.FramingInDoubt = !clean;
   if (!clean || keys.differ() || keys.within(decodePercent(exchange.Path)))
     return RefusalKind::MalformedRequest;
@@ -187,9 +188,8 @@
   std::string out;
   out.reserve(text.size());
   for (size_t n = 0; n < text.size(); ++n) {
-    int high = n + 2 < text.size() && text[n] == '%'
-                   ? hexValue(text[n + 1])
-                   : -1;
+    int high =
+        n + 2 < text.size() && text[n] == '%' ? hexValue(text[n + 1]) : -1;
     int low = high >= 0 ? hexValue(text[n + 2]) : -1;
     if (low < 0) {
       out.push_back(text[n]);
--- a/src/request_head.h
+++ b/src/request_head.h
@@ -5,9 +5,9 @@
 
 #include "exchange.h"
 #include "guavasail/event.h"
+#include "guavasail/header_names.h"
 #include "guavasail/limits.h"
 #include "guavasail/refusal.h"
-#include "guavasail/header_names.h"
 #include "http_reader.h"
 
 #include <optional>
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -254,10 +254,10 @@
          "service", "workspace", "route"});
     for (const auto &[key, node] : Root)
       if (std::find(Known.begin(), Known.end(), key.str()) == Known.end())
-        Faults.add(
-            SettingsFault::KeyUnknown, lineOf(node), std::string(key.str()),
-            "one of daemon limits store fleet headers peers vm service "
-            "workspace route");
+        Faults.add(SettingsFault::KeyUnknown, lineOf(node),
+                   std::string(key.str()),
+                   "one of daemon limits store fleet headers peers vm service "
+                   "workspace route");
   }
 
   template <typename Spec, size_t N>
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -67,8 +67,7 @@
 }
 
 inline constexpr TextRule EndpointRule = {&isEndpoint, "IP:PORT"};
-inline constexpr TextRule FleetModeRule = {&isFleetMode,
-                                           "one of alone owners"};
+inline constexpr TextRule FleetModeRule = {&isFleetMode, "one of alone owners"};
 inline constexpr TextRule AddressRule = {&isAddress, "an IP number"};
 inline constexpr TextRule LogLevelRule = {&isLogLevel,
                                           "one of debug info warning error"};
--- a/src/tcp_stream.cpp
+++ b/src/tcp_stream.cpp
@@ -95,8 +95,7 @@
 void TcpStream::write(std::string bytes) {
   if (Closing || bytes.empty())
     return;
-  uv_buf_t buf =
-      uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+  uv_buf_t buf = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
   size_t sent = 0;
   if (queued() == 0) {
     int n = uv_try_write(streamOf(Tcp), &buf, 1);
--- a/tests/config_apply_test.cpp
+++ b/tests/config_apply_test.cpp
@@ -152,8 +152,8 @@
   CatalogIndex rebuilt;
   rebuilt.accept(after.value());
   for (std::string_view path : {"/wind", "/notices/1", "/gusts", "/r", "/"}) {
-    RouteHandle left = patched.route(path);
-    RouteHandle right = rebuilt.route(path);
+    RouteHandle left = patched.route("", path);
+    RouteHandle right = rebuilt.route("", path);
     ASSERT_EQ(left.valid(), right.valid()) << path;
     if (left.valid()) {
       EXPECT_EQ(patched.name(left), rebuilt.name(right));
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -6,8 +6,8 @@
 
 #include <gtest/gtest.h>
 #include <map>
-#include <random>
 #include <queue>
+#include <random>
 
 namespace guavasail {
 
@@ -115,7 +115,8 @@
     {"OneReset", {{PlaceOutcome::Fault, 1}}, false},
     {"OneError", {{PlaceOutcome::Error, 1}}, true},
     {"ThreeErrors",
-     {{PlaceOutcome::Error, 1}, {PlaceOutcome::Error, 2},
+     {{PlaceOutcome::Error, 1},
+      {PlaceOutcome::Error, 2},
       {PlaceOutcome::Error, 3}},
      false},
     {"OneVmCannotReachIt", {{PlaceOutcome::Unreachable, 1}}, true},
@@ -163,7 +164,11 @@
   EXPECT_EQ(health.state(Start + seconds(2)), SeatState::Trial);
   health.note(PlaceOutcome::Ok, VmHandle{1}, milliseconds(300),
               milliseconds(300), Start + milliseconds(2400));
-  EXPECT_EQ(health.state(Start + milliseconds(2400)), SeatState::Sound);
+  // One good answer may be luck.
+  EXPECT_EQ(health.state(Start + milliseconds(2400)), SeatState::Trial);
+  health.note(PlaceOutcome::Ok, VmHandle{1}, milliseconds(300),
+              milliseconds(300), Start + milliseconds(2800));
+  EXPECT_EQ(health.state(Start + milliseconds(2800)), SeatState::Sound);
 }
 
 TEST(Floor, MostInstancesStayInUseWhenAllFail) {
@@ -268,8 +273,8 @@
       if (it.Reply.Verdict != PlaceVerdict::Overloaded)
         continue;
       ++result.Refused;
-      result.LongestRefusal = std::max(
-          result.LongestRefusal, now - arrived[it.Reply.Request.Index]);
+      result.LongestRefusal = std::max(result.LongestRefusal,
+                                       now - arrived[it.Reply.Request.Index]);
     }
     bench.Decisions.clearOutput();
   };
@@ -389,9 +394,8 @@
   }
   for (size_t n = 0; n < admitted.size(); ++n) {
     size_t count = 0;
-    for (size_t m = n; m < admitted.size() &&
-                       admitted[m] - admitted[n] < seconds(5);
-         ++m)
+    for (size_t m = n;
+         m < admitted.size() && admitted[m] - admitted[n] < seconds(5); ++m)
       ++count;
     EXPECT_LE(count, Rate * 5 + Burst);
   }
@@ -420,10 +424,9 @@
   book.setOwnShare(0.5 / 36);
   int admitted = 0;
   for (Instant now = Start; now < Start + seconds(10); now += milliseconds(50))
-    admitted += book.askAlone({7, {1, 1}}, now).Verdict ==
-                        QuotaVerdict::Admitted
-                    ? 1
-                    : 0;
+    admitted +=
+        book.askAlone({7, {1, 1}}, now).Verdict == QuotaVerdict::Admitted ? 1
+                                                                          : 0;
   EXPECT_GE(admitted, 4);
   EXPECT_LE(admitted, 6);
 }
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -174,10 +174,10 @@
 }
 
 TEST(StorePage, KeepsReadableItems) {
-  auto page = parsePage(
-      R"({"items":[{"key":"a","value":"aGVsbG8=","revision":3},)"
-      R"({"key":"b","value":"%%%","revision":4},7],)"
-      R"("has_more":true,"store_revision":9})");
+  auto page =
+      parsePage(R"({"items":[{"key":"a","value":"aGVsbG8=","revision":3},)"
+                R"({"key":"b","value":"%%%","revision":4},7],)"
+                R"("has_more":true,"store_revision":9})");
   ASSERT_TRUE(page);
   ASSERT_EQ(page->Items.size(), 1u);
   EXPECT_EQ(page->Items[0].Value, "hello");
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -91,10 +91,13 @@
           << R"("shop.example","rules":[{"name":"r","kind":")" << Kind
           << R"(","match":{"prefix":"/a/"},"action":{"service":"s",)"
           << R"("timeout_ms":3000,"attempts":2}}]}],)"
-          << R"("clusters":[{"name":"s"}]})" << "\n"
-          << "servers/i-1\t" << R"({"service":"s","address":"127.0.0.1:)"
-          << Backend.port() << R"(","zone":"z","slots":2,"state":")" << state
-          << R"(","sequence":1})" << "\n"
+          << R"("clusters":[{"name":"s"}]})"
+          << "\n"
+          << "servers/i-1\t"
+          << R"({"service":"s","address":"127.0.0.1:)" << Backend.port()
+          << R"(","zone":"z","slots":2,"state":")" << state
+          << R"(","sequence":1})"
+          << "\n"
           << "servers/i-broken\t{\"service\":7}\n";
   }
 
@@ -234,8 +237,8 @@
   EXPECT_EQ(caller.Received.find("foreign"), std::string::npos);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, PlatformPath,
-                         testing::ValuesIn(InstanceCases), [](const auto &it) {
+INSTANTIATE_TEST_SUITE_P(Table, PlatformPath, testing::ValuesIn(InstanceCases),
+                         [](const auto &it) {
                            return std::string(it.param.Name);
                          });
 
--- a/tools/standin_store.cpp
+++ b/tools/standin_store.cpp
@@ -47,9 +47,9 @@
 };
 
 std::string base64(std::string_view bytes) {
-  std::string out(sodium_base64_encoded_len(bytes.size(),
-                                            sodium_base64_VARIANT_ORIGINAL),
-                  '\0');
+  std::string out(
+      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
   sodium_bin2base64(out.data(), out.size(),
                     reinterpret_cast<const unsigned char *>(bytes.data()),
                     bytes.size(), sodium_base64_VARIANT_ORIGINAL);
