--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -69,27 +69,18 @@
 
 bool FrontPlain::open() {
   const DaemonSettings &daemon = Config.Daemon;
-  struct Place {
-    Door Use;
-    const std::string &Address;
-    uint32_t Port;
-  };
-  const Place places[] = {
-      {Door::Callers, daemon.ListenAddress, daemon.ListenPort},
-      {Door::Ready, daemon.ReadyAddress, daemon.ReadyPort},
-      {Door::Metrics, daemon.MetricsAddress, daemon.MetricsPort},
-  };
-  for (size_t n = 0; n < Doors.size(); ++n) {
-    Doors[n].Use = places[n].Use;
-    if (places[n].Port != 0 &&
-        !openDoor(Doors[n], places[n].Address, places[n].Port))
-      return false;
-  }
-  return true;
+  Doors[0].Use = Door::Callers;
+  Doors[1].Use = Door::Ready;
+  Doors[2].Use = Door::Metrics;
+  return openDoor(Doors[0], daemon.ListenAddress, daemon.ListenPort) &&
+         openDoor(Doors[1], daemon.ReadyAddress, daemon.ReadyPort) &&
+         openDoor(Doors[2], daemon.MetricsAddress, daemon.MetricsPort);
 }
 
 bool FrontPlain::openDoor(DoorRow &door, const std::string &address,
                           uint32_t port) {
+  if (port == 0)
+    return true;
   sockaddr_storage place{};
   auto number = static_cast<int>(port);
   if (uv_ip4_addr(address.c_str(), number,
--- a/src/front_plain.h
+++ b/src/front_plain.h
@@ -60,6 +60,7 @@
   void onEnd(TcpStream &stream, StreamEnd end) override;
 
   static void onConnection(uv_stream_t *server, int status);
+  /// Opens a listening socket; none without a port.
   bool openDoor(DoorRow &door, const std::string &address, uint32_t port);
   void welcome(DoorRow &door);
 
