--- a/src/dispatch_health.cpp
+++ b/src/dispatch_health.cpp
@@ -1,5 +1,7 @@
 #include "dispatch_health.h"
 
+#include "duration_math.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -32,12 +34,8 @@
 constexpr double SlownessWeight = 0.3;
 constexpr double MostSlowness = 20;
 
-double seconds(Duration time) {
-  return std::chrono::duration<double>(time).count();
-}
-
 double decayed(double value, Instant since, Instant now) {
-  return value * std::exp2(-seconds(now - since) / HalfLifeSeconds);
+  return value * std::exp2(-inSeconds(now - since) / HalfLifeSeconds);
 }
 
 } // namespace
@@ -96,7 +94,7 @@
       EjectedUntil = std::min(EjectedUntil, now);
       std::erase_if(Paths, [&](const Path &it) { return it.Vm == vm; });
     }
-    double ratio = seconds(took) / std::max(seconds(typical), 0.001);
+    double ratio = inSeconds(took) / std::max(inSeconds(typical), 0.001);
     Slowness = slowness(now) * (1 - SlownessWeight) +
                std::clamp(ratio, 1.0, MostSlowness) * SlownessWeight;
     SlownessAt = now;
--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -1,5 +1,6 @@
 #include "dispatch_pool.h"
 
+#include "duration_math.h"
 #include "rendezvous.h"
 
 #include <algorithm>
@@ -56,13 +57,7 @@
 
 /// \returns a part of 1 that grows with the time since the last good answer.
 double doubt(Duration age) {
-  return std::min(1.0, std::chrono::duration<double>(age).count() /
-                           std::chrono::duration<double>(FullDoubt).count());
-}
-
-Duration scaled(Duration time, double factor) {
-  return Duration(
-      static_cast<int64_t>(static_cast<double>(time.count()) * factor));
+  return std::min(1.0, inSeconds(age) / inSeconds(FullDoubt));
 }
 
 } // namespace
--- a/src/dispatch_queue.cpp
+++ b/src/dispatch_queue.cpp
@@ -1,5 +1,7 @@
 #include "dispatch_queue.h"
 
+#include "duration_math.h"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -20,15 +22,6 @@
 constexpr size_t MostShares = 64;
 constexpr size_t MostEntries = 4096;
 
-Duration scaled(Duration time, double factor) {
-  return Duration(
-      static_cast<int64_t>(static_cast<double>(time.count()) * factor));
-}
-
-double seconds(Duration time) {
-  return std::chrono::duration<double>(time).count();
-}
-
 /// \returns the time until \p ahead requests were given a slot.
 Duration waitFor(size_t ahead, const QueueLoad &load) {
   return scaled(load.Typical, static_cast<double>(ahead + 1) / load.Slots);
@@ -66,7 +59,7 @@
 
 void DispatchQueue::push(QueueEntry entry) {
   entry.Order = ++LastOrder;
-  Entries.push_back(std::move(entry));
+  Entries.push_back(entry);
 }
 
 QueueEntry *DispatchQueue::find(VmHandle vm, RequestHandle request,
@@ -122,7 +115,7 @@
 }
 
 QueueEntry DispatchQueue::take(uint32_t index, Instant now) {
-  QueueEntry entry = std::move(Entries[index]);
+  QueueEntry entry = Entries[index];
   Entries.erase(Entries.begin() + index);
   noteServed(entry.Ask.Workspace, now);
   return entry;
@@ -136,7 +129,7 @@
       [&](const QueueEntry &entry) { return entry.Deadline < finish; });
   if (it == Entries.end())
     return std::nullopt;
-  QueueEntry entry = std::move(*it);
+  QueueEntry entry = *it;
   Entries.erase(it);
   return entry;
 }
@@ -155,7 +148,7 @@
 void DispatchQueue::noteServed(uint64_t workspace, Instant now) {
   Share *own = nullptr;
   for (Share &it : Shares) {
-    it.Served *= std::exp2(-seconds(now - it.At) / ShareHalfLifeSeconds);
+    it.Served *= std::exp2(-inSeconds(now - it.At) / ShareHalfLifeSeconds);
     it.At = now;
     if (it.Workspace == workspace)
       own = &it;
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -1,5 +1,7 @@
 #include "quota.h"
 
+#include "duration_math.h"
+
 #include <algorithm>
 
 namespace guavasail {
@@ -17,10 +19,6 @@
 /// Clocks of VMs differ by less than this part.
 constexpr double DriftFactor = 0.999;
 
-double seconds(Duration time) {
-  return std::chrono::duration<double>(time).count();
-}
-
 } // namespace
 
 void QuotaBook::setLimits(std::span<const QuotaLimit> limits, bool full,
@@ -64,11 +62,11 @@
   double most = std::max(bucket.Limit.Burst, 1U);
   double rate = bucket.Limit.RatePerSecond * DriftFactor;
   bucket.Tokens = std::min(
-      most, bucket.Tokens + rate * Share * seconds(now - bucket.FilledAt));
+      most, bucket.Tokens + rate * Share * inSeconds(now - bucket.FilledAt));
   bucket.FilledAt = now;
   bucket.OwnTokens =
       std::min(1.0, bucket.OwnTokens +
-                        rate * OwnShare * seconds(now - bucket.OwnFilledAt));
+                        rate * OwnShare * inSeconds(now - bucket.OwnFilledAt));
   bucket.OwnFilledAt = now;
 }
 
