--- a/tests/edge_scenario_test.cpp
+++ b/tests/edge_scenario_test.cpp
@@ -226,6 +226,8 @@
   ASSERT_NE(at, std::string::npos);
   std::string field = caller.Received.substr(at);
   field = field.substr(0, field.find_first_of(",}"));
+  // Lines are written out after the turn of the loop that made them.
+  daemon.awaitLog("\"event\":\"request-refused\"");
   std::string log = daemon.log();
   EXPECT_NE(log.find(field), std::string::npos) << field << " in " << log;
   EXPECT_NE(log.find("\"event\":\"request-refused\""), std::string::npos);
