--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -11,6 +11,9 @@
 /// Time between two looks at waiting requests and slots in use.
 constexpr Duration CheckPeriod = std::chrono::milliseconds(150);
 
+/// Time after which a service without instances may have one again.
+constexpr Duration EmptyRetry = std::chrono::milliseconds(500);
+
 /// Instances in a row that a request may lose before it is refused.
 constexpr uint32_t MostCrashes = 3;
 /// Time for which losses of one request are added up.
@@ -107,6 +110,12 @@
   entry.Arrived = now;
   entry.UsefulUntil = now + ask.Useful;
   entry.Deadline = now + ask.Remaining;
+  std::span<const Seat> seats = service->Pool.seats();
+  bool staffed = std::any_of(seats.begin(), seats.end(), [](const Seat &it) {
+    return it.Present && !it.Leaving;
+  });
+  if (!staffed)
+    return turnAway(entry, EmptyRetry);
   if (service->Queue.empty() && grant(*service, entry, false, now))
     return check(now);
   if (auto retry = service->Queue.refusal(entry, loadOf(*service, now), now))
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -220,6 +220,16 @@
   EXPECT_TRUE(budget.takeRepeat(Start + seconds(12)));
 }
 
+TEST(Placement, ServiceWithoutInstancesRefusesAtOnce) {
+  Bench bench(2, 2);
+  CatalogSpec spec = catalogOf(2, 2);
+  for (InstanceSpec &it : spec.Services[0].Instances)
+    it.Leaving = true;
+  bench.Index.accept(spec);
+  bench.Decisions.acceptCatalog(bench.Index, Start);
+  EXPECT_EQ(bench.ask(askOf(1), Start).Verdict, PlaceVerdict::Overloaded);
+}
+
 TEST(Slots, OfAVmThatIsGoneAreFree) {
   Bench bench(1, 1);
   ASSERT_EQ(bench.ask(askOf(0), Start).Verdict, PlaceVerdict::Granted);
