A watcher that cannot reach the store asks the other zones at once

Besides, a change of a service of 190 instances was above 24 KB and was not pushed. Change: a watcher whose confirmation failed asks all zones' watchers in every round; changes up to 96 KB are pushed.

--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -19,7 +19,7 @@
 namespace guavasail {
 
 /// Most bytes of one encoded message. Senders split what is longer.
-inline constexpr size_t MaxPeerMessageBytes = 64 * 1024;
+inline constexpr size_t MaxPeerMessageBytes = 128 * 1024;
 
 /// Says that the sender runs.
 struct Heartbeat {
--- a/src/config_part.cpp
+++ b/src/config_part.cpp
@@ -11,8 +11,26 @@
 constexpr auto FreshNames = std::to_array<std::string_view>(
     {"confirmed", "store-away", "behind", "cut-off"});
 
+// A change has to be in force 2 s after its acceptance. Each of a zone's two
+// watchers reads it within one period and tells the zone.
+constexpr Duration ConfirmPeriod = std::chrono::milliseconds(1100);
+constexpr Duration AskPeriod = std::chrono::milliseconds(600);
+constexpr Duration WatcherSilence = std::chrono::milliseconds(1000);
+// A mark is at most a confirmation and a question old while all goes well; a
+// withdrawn key has to stop after 5 s.
+constexpr Duration HurryFrom = std::chrono::milliseconds(2200);
+constexpr Duration WatchFrom = std::chrono::milliseconds(2400);
+
 } // namespace
 
+void useReaderTimes(ConfigInit &config) {
+  config.Store.Confirm = ConfirmPeriod;
+  config.Sync.Ask = AskPeriod;
+  config.Sync.WatcherSilence = WatcherSilence;
+  config.Sync.WatchFrom = WatchFrom;
+  config.Sync.HurryFrom = HurryFrom;
+}
+
 std::string_view notReadyReasonName(NotReadyReason reason) {
   return ReasonNames[static_cast<size_t>(reason)];
 }
@@ -36,7 +54,7 @@
     return;
   measureReach(context.Members, context.Zone, context.Now, Reach);
   ConfigStep step = stepOf(context);
-  Sync.onTick(step);
+  Sync.onTick(Watch.storeLost(), step);
   Watch.setActive(Sync.shouldWatch(step));
   Watch.onTick(step);
   Writer.onTick(step);
--- a/src/config_part.h
+++ b/src/config_part.h
@@ -38,6 +38,9 @@
   uint64_t Seed = 1;
 };
 
+/// Sets the times of a fleet that only reads the store.
+void useReaderTimes(ConfigInit &config);
+
 /// What the part needs from the rest of the reducer.
 struct ConfigContext {
   Instant Now;
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -40,7 +40,7 @@
   OwnZone.compute(step.Members, step.Zone, Times);
 }
 
-void ConfigSync::onTick(const ConfigStep &step) {
+void ConfigSync::onTick(bool storeLost, const ConfigStep &step) {
   if (Started == Instant::min()) {
     Started = step.Now;
     auto most = static_cast<uint64_t>(MaxPatience.count());
@@ -53,7 +53,10 @@
   if (step.Now < NextAsk)
     return;
   refresh(step);
-  bool hurried = ageOf(Marks.markedAt(), step.Now) >= Times.HurryFrom;
+  // A watcher without the store has nothing to tell its zone but what it asks
+  // of other zones.
+  bool hurried =
+      storeLost || ageOf(Marks.markedAt(), step.Now) >= Times.HurryFrom;
   ++Round;
   askAll(step, hurried);
   NextAsk = later(step.Now, hurried ? Times.AskHurried : Times.Ask);
@@ -163,7 +166,7 @@
   if (deltas.empty() || deltas.size() > MaxDeltas)
     return false;
   for (const ConfigDelta *it : deltas)
-    if (chunkBytes(it->Patch.Put) > Times.PartBytes)
+    if (chunkBytes(it->Patch.Put) > Times.PushBytes)
       return false;
   for (const ConfigDelta *it : deltas)
     send(to, *it, step);
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -38,6 +38,9 @@
   uint32_t VmsPerWatcher = 40;
   /// Entries of one message, in bytes by `chunkBytes`.
   uint32_t PartBytes = 24 * 1024;
+  /// Largest change that is sent unasked; with room for the encoding it fits
+  /// into one message, also for a service of 700 instances.
+  uint32_t PushBytes = 96 * 1024;
 };
 
 /// Most watchers that one zone has.
@@ -68,7 +71,8 @@
       : Keeper(keeper), Marks(marks), Times(times), Random(seed) {}
 
   /// Asks whoever is due.
-  void onTick(const ConfigStep &step);
+  /// \param storeLost true if this VM should read the store and cannot.
+  void onTick(bool storeLost, const ConfigStep &step);
 
   void onPeer(VmHandle from, const ConfigAsk &message, const ConfigStep &step);
   void onPeer(VmHandle from, const ConfigMark &message, const ConfigStep &step);
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -125,6 +125,7 @@
 
 void ConfigWatch::noteFailure(Instant sent, const ConfigStep &step) {
   Reached = false;
+  Failed = true;
   NextConfirm = later(step.Now, Times.Retry);
   // A VM that still hears of the store by others makes no statement, and
   // neither does one that is cut off with a minority: its word would count
@@ -160,6 +161,7 @@
                               const ConfigStep &step) {
   if (reply.Outcome == StoreOutcome::Ok) {
     Reached = true;
+    Failed = false;
     HeadAbsent = false;
     const ConfigHead &head = *std::get_if<ConfigHead>(&Seed);
     SeenRevision = reply.Revision;
@@ -171,6 +173,7 @@
   if (reply.Outcome != StoreOutcome::Conflict)
     return noteFailure(Confirming.Sent, step);
   Reached = true;
+  Failed = false;
   HeadAbsent = reply.Revision == 0;
   if (HeadAbsent)
     NextConfirm = step.Now;
--- a/src/config_watch.h
+++ b/src/config_watch.h
@@ -49,6 +49,8 @@
 
   /// \returns true if the newest completed attempt got a reply.
   [[nodiscard]] bool reached() const { return Reached; }
+  /// \returns true if the last confirmation of an active part failed.
+  [[nodiscard]] bool storeLost() const { return Active && Failed; }
 
 private:
   struct Pending {
@@ -82,6 +84,7 @@
   StoreTimes Times;
   bool Active = false;
   bool Reached = false;
+  bool Failed = false;
   uint32_t LastNumber = 0;
   Pending Confirming;
   Pending Watching;
--- a/src/reducer_config.cpp
+++ b/src/reducer_config.cpp
@@ -2,33 +2,14 @@
 
 namespace guavasail {
 
-namespace {
-
-// A change has to be in force 2 s after its acceptance. Each of a zone's two
-// watchers reads it within one period and tells the zone.
-constexpr Duration ConfirmPeriod = std::chrono::milliseconds(1100);
-constexpr Duration AskPeriod = std::chrono::milliseconds(600);
-constexpr Duration WatcherSilence = std::chrono::milliseconds(1000);
-// A mark is at most a confirmation and a question old while all goes well; a
-// withdrawn key has to stop after 5 s.
-constexpr Duration HurryFrom = std::chrono::milliseconds(2200);
-constexpr Duration WatchFrom = std::chrono::milliseconds(2400);
-
-} // namespace
-
 ConfigInit ReducerState::configInit(const ReducerInit &init) {
   ConfigInit config;
   config.Stored = init.Stored;
   config.Seed = init.Seed;
   config.Bounds.Withdrawal = init.Withdrawal;
   config.Bounds.TrustOutage = init.TrustOutage;
-  if (init.Fleet == FleetKind::Owners) {
-    config.Store.Confirm = ConfirmPeriod;
-    config.Sync.Ask = AskPeriod;
-    config.Sync.WatcherSilence = WatcherSilence;
-    config.Sync.WatchFrom = WatchFrom;
-    config.Sync.HurryFrom = HurryFrom;
-  }
+  if (init.Fleet == FleetKind::Owners)
+    useReaderTimes(config);
   return config;
 }
 
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -376,6 +376,34 @@
   return Nodes[vm].Part->notReady();
 }
 
+bool ConfigFleet::watches(uint32_t vm) const {
+  return Nodes[vm].Part->watching();
+}
+
+uint64_t ConfigFleet::writeCatalog(const CatalogSpec &catalog) {
+  ChunkTable table = cutCatalog(catalog);
+  FakeStore::Entry last = Store.head();
+  ConfigHead head;
+  if (last.Value)
+    head.Version = std::get<ConfigHead>(*last.Value).Version;
+  ++head.Version;
+  for (const CatalogChunk &it : table.Slots) {
+    head.Chunks.push_back(chunkDigest(it));
+    StoreValue value = it;
+    StoreWrite write;
+    write.Key.Space = StoreSpace::Chunk;
+    write.Key.Chunk = head.Chunks.back();
+    write.Value = &value;
+    Store.write(write);
+  }
+  StoreValue value = head;
+  StoreWrite write;
+  write.Expected = last.Revision;
+  write.Value = &value;
+  Store.write(write);
+  return head.Version;
+}
+
 uint32_t ConfigFleet::watchers() const {
   return static_cast<uint32_t>(
       std::count_if(Nodes.begin(), Nodes.end(),
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -84,6 +84,11 @@
   /// Proposes a change on a VM.
   void propose(uint32_t vm, const Change &change);
 
+  /// Writes \p catalog to the store, as an operator's tool outside the fleet
+  /// does.
+  /// \returns its version.
+  uint64_t writeCatalog(const CatalogSpec &catalog);
+
   /// Cuts or mends the link from one VM to another.
   void cut(uint32_t from, uint32_t to, bool down);
   /// Cuts or mends all links between two groups, both ways.
@@ -106,6 +111,8 @@
     return static_cast<uint32_t>(Nodes.size());
   }
   [[nodiscard]] uint32_t watchers() const;
+  [[nodiscard]] bool watches(uint32_t vm) const;
+  [[nodiscard]] uint32_t zoneOf(uint32_t vm) const { return vm % Init.Zones; }
   [[nodiscard]] Instant now() const { return Now; }
   [[nodiscard]] const std::map<std::string, ChangeTrace> &changes() const {
     return Changes;
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -322,6 +322,70 @@
     EXPECT_TRUE(fleet.admits(vm)) << vm;
 }
 
+/// Changes by an operator outside the fleet.
+struct ReaderCase {
+  std::string_view Name;
+  uint32_t Instances;
+  /// Zones whose watchers lose the store.
+  uint32_t ZonesWithout;
+};
+
+constexpr ReaderCase ReaderCases[] = {
+    {"AllReach", 20, 0},
+    {"ZoneWithoutStore", 20, 1},
+    {"TwoZonesWithoutStore", 20, 2},
+    {"LargeService", 240, 0},
+    {"LargeServiceZoneWithoutStore", 240, 1},
+};
+
+CatalogSpec largeCatalog(uint32_t instances, uint32_t change) {
+  ServiceSpec service;
+  service.Name = "tides";
+  for (uint32_t n = 0; n < instances; ++n) {
+    InstanceSpec it;
+    it.Name = "i-" + std::to_string(100'000 + n);
+    it.Address = "10.0.0." + std::to_string(n);
+    it.Zone = "z" + std::to_string(n % 4);
+    it.Slots = 1 + (n == change % instances ? change : 0);
+    service.Instances.push_back(it);
+  }
+  CatalogSpec catalog;
+  catalog.Services.push_back(std::move(service));
+  return catalog;
+}
+
+class ReaderFleet : public testing::TestWithParam<ReaderCase> {};
+
+TEST_P(ReaderFleet, FollowsTheStore) {
+  // The platform allows 2.5 s; a place is found within 0.4 s.
+  constexpr Duration Bound = milliseconds(2000);
+  FleetInit init;
+  init.Vms = 24;
+  init.Zones = 4;
+  useReaderTimes(init.Part);
+  ConfigFleet fleet(init);
+  fleet.writeCatalog(largeCatalog(GetParam().Instances, 0));
+  fleet.run(seconds(6));
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    if (fleet.watches(vm) && fleet.zoneOf(vm) < GetParam().ZonesWithout)
+      fleet.cutStore(vm, true);
+  for (uint32_t change = 1; change <= 12; ++change) {
+    // The changes come at all points of the watchers' period.
+    fleet.run(milliseconds(170));
+    uint64_t version =
+        fleet.writeCatalog(largeCatalog(GetParam().Instances, change));
+    fleet.run(Bound);
+    for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+      EXPECT_GE(fleet.version(vm), version)
+          << "vm" << vm << " at change " << change;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ReaderFleet, testing::ValuesIn(ReaderCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 struct Scenario {
   std::string_view Name;
   void (*Run)(ConfigFleet &fleet);
