--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -4,6 +4,8 @@
 #include "rendezvous.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 
 namespace guavasail {
 
@@ -115,45 +117,61 @@
   return used / seat.Slots;
 }
 
-/// \returns true if the instance stays in use although it fails, because too
-/// many others fail more.
-bool DispatchPool::heldIn(const Seat &seat, Instant now) const {
+/// Works out which failing instances stay in use because too many others fail
+/// more.
+void DispatchPool::findHeld(Instant now) {
   size_t present = 0;
-  size_t worse = 0;
-  double own = seat.Health.badness(now);
+  Failing.clear();
   for (const Seat &it : Seats) {
     if (!it.Present || it.Leaving)
       continue;
     ++present;
-    bool out = &it != &seat && it.Health.state(now) == SeatState::Ejected;
-    worse += out && it.Health.badness(now) >= own ? 1 : 0;
+    if (it.Health.state(now) == SeatState::Ejected)
+      Failing.push_back(it.Health.badness(now));
   }
   constexpr size_t Hundred = 100;
   size_t kept = (present * KeptPercent + Hundred - 1) / Hundred;
-  return worse >= present - std::min(kept, present);
+  size_t spared = present - std::min(kept, present);
+  HeldBadness = NoneHeld;
+  if (Failing.size() <= spared)
+    return;
+  auto nth = Failing.begin() + static_cast<std::ptrdiff_t>(spared);
+  std::nth_element(Failing.begin(), nth, Failing.end(), std::greater<>());
+  HeldBadness = *nth;
 }
 
-bool DispatchPool::usable(const Seat &seat, const PlaceInput &input,
-                          Instant now) const {
+/// \returns true if some request could use the instance.
+bool DispatchPool::open(const Seat &seat, Instant now) const {
   if (!seat.Present || seat.Leaving || room(seat) == 0 || now < seat.FullUntil)
     return false;
-  if (seat.Health.pathBroken(input.Vm, now))
-    return false;
   switch (seat.Health.state(now)) {
   case SeatState::Sound:
     return true;
-  case SeatState::Trial: {
-    bool careful =
-        input.Repeat || (!input.Idempotent && !seat.Health.openTrial(now));
-    return seat.Grants.empty() && (!careful || input.Pressed);
-  }
+  case SeatState::Trial:
+    return seat.Grants.empty();
   case SeatState::Ejected:
     break;
   }
-  return heldIn(seat, now);
+  return HeldBadness != NoneHeld && seat.Health.badness(now) <= HeldBadness;
+}
+
+bool DispatchPool::usable(const Seat &seat, const PlaceInput &input,
+                          Instant now) const {
+  if (!open(seat, now) || seat.Health.pathBroken(input.Vm, now))
+    return false;
+  if (input.Pressed || seat.Health.state(now) != SeatState::Trial)
+    return true;
+  return !input.Repeat && (input.Idempotent || seat.Health.openTrial(now));
+}
+
+bool DispatchPool::hasRoom(Instant now) {
+  findHeld(now);
+  return std::any_of(Seats.begin(), Seats.end(),
+                     [&](const Seat &it) { return open(it, now); });
 }
 
 void DispatchPool::collect(const PlaceInput &input, Instant now) {
+  findHeld(now);
   Candidates.clear();
   for (Seat &seat : Seats)
     if (usable(seat, input, now))
@@ -190,9 +208,8 @@
     sum += NearlyFullCost;
   if (seat.Zone != input.Zone)
     sum += input.Large ? FarLargeCost : FarCost;
-  bool warm = std::any_of(seat.Warm.begin(), seat.Warm.end(), [&](auto &it) {
-    return it.first == input.Vm && now - it.second < WarmTime;
-  });
+  bool warm = input.Vm.Value < seat.UsedAt.size() &&
+              now - seat.UsedAt[input.Vm.Value] < WarmTime;
   sum += warm ? 0 : ColdConnectionCost;
   sum += seat.Cold ? ColdInstanceCost : 0;
   sum += seat.Health.badness(now) * BadnessCost;
@@ -226,10 +243,11 @@
 
 void DispatchPool::take(Seat &seat, const SlotGrant &grant) {
   seat.Grants.push_back(grant);
-  std::erase_if(seat.Warm, [&](const auto &it) {
-    return it.first == grant.Vm || grant.Given - it.second >= WarmTime;
-  });
-  seat.Warm.emplace_back(grant.Vm, grant.Given);
+  if (!grant.Vm.valid())
+    return;
+  if (grant.Vm.Value >= seat.UsedAt.size())
+    seat.UsedAt.resize(grant.Vm.Value + 1);
+  seat.UsedAt[grant.Vm.Value] = grant.Given;
 }
 
 bool DispatchPool::release(VmHandle vm, const PlaceDone &done, Instant now) {
--- a/src/dispatch_pool.h
+++ b/src/dispatch_pool.h
@@ -43,8 +43,9 @@
   Instant ReportedAt{};
   /// Full by its own word until then.
   Instant FullUntil{};
-  /// VMs that used the instance lately and may hold a connection.
-  std::vector<std::pair<VmHandle, Instant>> Warm;
+  /// When a VM last used the instance, by its handle; it may still hold a
+  /// connection.
+  std::vector<Instant> UsedAt;
 };
 
 /// What is placed.
@@ -73,6 +74,9 @@
   /// asking VM.
   Seat *choose(const PlaceInput &input, Instant now);
 
+  /// \returns true if some request could be placed.
+  [[nodiscard]] bool hasRoom(Instant now);
+
   /// \returns the seat of \p key, null if it is unknown.
   Seat *find(uint64_t key);
 
@@ -120,7 +124,8 @@
   void collect(const PlaceInput &input, Instant now);
   [[nodiscard]] bool usable(const Seat &seat, const PlaceInput &input,
                             Instant now) const;
-  [[nodiscard]] bool heldIn(const Seat &seat, Instant now) const;
+  [[nodiscard]] bool open(const Seat &seat, Instant now) const;
+  void findHeld(Instant now);
   [[nodiscard]] double load(const Seat &seat, Instant now) const;
   [[nodiscard]] double cost(const Seat &seat, const PlaceInput &input,
                             Instant now) const;
@@ -130,6 +135,11 @@
   std::mt19937_64 Random;
   std::vector<Seat> Seats;
   std::vector<Seat *> Candidates;
+  static constexpr double NoneHeld = -1;
+  /// Failure weights of the instances that are not used, and the weight up to
+  /// which one is used all the same.
+  std::vector<double> Failing;
+  double HeldBadness = NoneHeld;
   Duration Typical = std::chrono::milliseconds(300);
 };
 
--- a/src/dispatch_queue.cpp
+++ b/src/dispatch_queue.cpp
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
+#include <cstddef>
+#include <tuple>
 
 namespace guavasail {
 
@@ -21,6 +22,9 @@
 constexpr double ShareHalfLifeSeconds = 2;
 constexpr size_t MostShares = 64;
 constexpr size_t MostEntries = 4096;
+/// Entries that are tried for a free slot. The first one takes it unless its VM
+/// cannot reach the instance.
+constexpr size_t FirstCount = 16;
 
 /// \returns the time until \p ahead requests were given a slot.
 Duration waitFor(size_t ahead, const QueueLoad &load) {
@@ -80,43 +84,40 @@
   return true;
 }
 
-bool DispatchQueue::arrivedBefore(const QueueEntry &a, const QueueEntry &b,
-                                  Instant) const {
+bool DispatchQueue::arrivedBefore(const Place &a, const Place &b) {
   return a.Order < b.Order;
 }
 
-bool DispatchQueue::usefulBefore(const QueueEntry &a, const QueueEntry &b,
-                                 Instant usefulFrom) const {
-  bool lateA = a.UsefulUntil < usefulFrom;
-  bool lateB = b.UsefulUntil < usefulFrom;
-  if (lateA != lateB)
-    return lateB;
-  if (a.Ask.Rank != b.Ask.Rank)
-    return a.Ask.Rank < b.Ask.Rank;
-  if (a.Ask.Workspace != b.Ask.Workspace) {
-    double servedA = served(a.Ask.Workspace);
-    double servedB = served(b.Ask.Workspace);
-    if (servedA != servedB)
-      return servedA < servedB;
-  }
-  return a.Order < b.Order;
+bool DispatchQueue::usefulBefore(const Place &a, const Place &b) {
+  return std::tie(a.Late, a.Rank, a.Served, a.Order) <
+         std::tie(b.Late, b.Rank, b.Served, b.Order);
 }
 
-std::span<const uint32_t> DispatchQueue::order(const QueueLoad &load,
-                                               Instant now) {
-  const Strategy &strategy = Strategies[static_cast<size_t>(Kind)];
+std::span<const DispatchQueue::Place>
+DispatchQueue::first(const QueueLoad &load, Instant now) {
   Instant usefulFrom = now + scaled(load.Typical, UsefulTime);
-  Sorted.resize(Entries.size());
-  std::iota(Sorted.begin(), Sorted.end(), 0U);
-  std::stable_sort(Sorted.begin(), Sorted.end(), [&](uint32_t a, uint32_t b) {
-    return (this->*strategy.Goes)(Entries[a], Entries[b], usefulFrom);
-  });
-  return Sorted;
+  Places.clear();
+  for (uint32_t n = 0; n < Entries.size(); ++n) {
+    const QueueEntry &it = Entries[n];
+    Places.push_back({n, it.UsefulUntil < usefulFrom, it.Ask.Rank,
+                      served(it.Ask.Workspace), it.Order});
+  }
+  const Strategy &strategy = Strategies[static_cast<size_t>(Kind)];
+  size_t n = std::min(Places.size(), FirstCount);
+  std::partial_sort(Places.begin(),
+                    Places.begin() + static_cast<std::ptrdiff_t>(n),
+                    Places.end(), strategy.Goes);
+  return {Places.data(), n};
 }
 
-QueueEntry DispatchQueue::take(uint32_t index, Instant now) {
+QueueEntry DispatchQueue::drop(uint32_t index) {
   QueueEntry entry = Entries[index];
   Entries.erase(Entries.begin() + index);
+  return entry;
+}
+
+QueueEntry DispatchQueue::take(uint32_t index, Instant now) {
+  QueueEntry entry = drop(index);
   noteServed(entry.Ask.Workspace, now);
   return entry;
 }
@@ -138,29 +139,33 @@
   std::erase_if(Entries, [&](const QueueEntry &it) { return it.Vm == vm; });
 }
 
-double DispatchQueue::served(uint64_t workspace) const {
-  for (const Share &it : Shares)
-    if (it.Workspace == workspace)
-      return it.Served;
-  return 0;
+std::vector<DispatchQueue::Share>::iterator
+DispatchQueue::shareAt(uint64_t workspace) {
+  return std::lower_bound(
+      Shares.begin(), Shares.end(), workspace,
+      [](const Share &it, uint64_t wanted) { return it.Workspace < wanted; });
+}
+
+double DispatchQueue::served(uint64_t workspace) {
+  auto it = shareAt(workspace);
+  return it != Shares.end() && it->Workspace == workspace ? it->Served : 0;
 }
 
 void DispatchQueue::noteServed(uint64_t workspace, Instant now) {
-  Share *own = nullptr;
   for (Share &it : Shares) {
     it.Served *= std::exp2(-inSeconds(now - it.At) / ShareHalfLifeSeconds);
     it.At = now;
-    if (it.Workspace == workspace)
-      own = &it;
   }
-  if (!own) {
-    if (Shares.size() >= MostShares)
-      Shares.erase(std::min_element(
-          Shares.begin(), Shares.end(),
-          [](const Share &a, const Share &b) { return a.Served < b.Served; }));
-    own = &Shares.emplace_back(Share{workspace, 0, now});
+  auto it = shareAt(workspace);
+  if (it != Shares.end() && it->Workspace == workspace) {
+    it->Served += 1;
+    return;
   }
-  own->Served += 1;
+  if (Shares.size() >= MostShares)
+    Shares.erase(std::min_element(
+        Shares.begin(), Shares.end(),
+        [](const Share &a, const Share &b) { return a.Served < b.Served; }));
+  Shares.insert(shareAt(workspace), Share{workspace, 1, now});
 }
 
 } // namespace guavasail
--- a/src/dispatch_queue.h
+++ b/src/dispatch_queue.h
@@ -53,14 +53,26 @@
   /// \returns false if it did not wait.
   bool remove(VmHandle vm, RequestHandle request, uint32_t ordinal);
 
-  /// \returns the indexes of all entries in the order in which they are to be
-  /// served; valid until the queue changes.
-  std::span<const uint32_t> order(const QueueLoad &load, Instant now);
+  /// An entry's place in the order.
+  struct Place {
+    uint32_t Index = 0;
+    bool Late = false;
+    uint32_t Rank = 0;
+    double Served = 0;
+    uint64_t Order = 0;
+  };
+
+  /// \returns the entries that are to be served first, in order; valid until
+  /// the queue changes.
+  std::span<const Place> first(const QueueLoad &load, Instant now);
 
   [[nodiscard]] const QueueEntry &at(uint32_t index) const {
     return Entries[index];
   }
 
+  /// Takes an entry out because it is refused.
+  QueueEntry drop(uint32_t index);
+
   /// Takes an entry out because it is served.
   QueueEntry take(uint32_t index, Instant now);
 
@@ -73,9 +85,7 @@
   [[nodiscard]] bool empty() const { return Entries.empty(); }
 
 private:
-  using Before = bool (DispatchQueue::*)(const QueueEntry &a,
-                                         const QueueEntry &b,
-                                         Instant usefulFrom) const;
+  using Before = bool (*)(const Place &a, const Place &b);
   struct Strategy {
     QueueKind Kind;
     std::string_view Name;
@@ -90,16 +100,17 @@
     Instant At{};
   };
 
-  bool arrivedBefore(const QueueEntry &a, const QueueEntry &b,
-                     Instant usefulFrom) const;
-  bool usefulBefore(const QueueEntry &a, const QueueEntry &b,
-                    Instant usefulFrom) const;
-  [[nodiscard]] double served(uint64_t workspace) const;
+  static bool arrivedBefore(const Place &a, const Place &b);
+  static bool usefulBefore(const Place &a, const Place &b);
+  [[nodiscard]] double served(uint64_t workspace);
+  /// \returns where the share of \p workspace is or belongs.
+  std::vector<Share>::iterator shareAt(uint64_t workspace);
   void noteServed(uint64_t workspace, Instant now);
 
   QueueKind Kind;
   std::vector<QueueEntry> Entries;
-  std::vector<uint32_t> Sorted;
+  std::vector<Place> Places;
+  /// By workspace.
   std::vector<Share> Shares;
   uint64_t LastOrder = 0;
 };
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -157,20 +157,33 @@
 
 /// Gives free slots to waiting requests.
 void Dispatcher::serve(Service &service, Instant now) {
+  while (!service.Queue.empty() && service.Pool.hasRoom(now))
+    if (!serveFirst(service, now))
+      return;
+}
+
+/// \returns true if one of the first waiting requests left the queue.
+bool Dispatcher::serveFirst(Service &service, Instant now) {
   QueueLoad load = loadOf(service, now);
-  while (auto entry = service.Queue.takeHopeless(load, now))
-    turnAway(*entry, load.Typical);
-  bool served = true;
-  while (served && !service.Queue.empty()) {
-    served = false;
-    for (uint32_t index : service.Queue.order(load, now)) {
-      if (!grant(service, service.Queue.at(index), true, now))
-        continue;
-      service.Queue.take(index, now);
-      served = true;
-      break;
+  for (const DispatchQueue::Place &it : service.Queue.first(load, now)) {
+    const QueueEntry &entry = service.Queue.at(it.Index);
+    if (entry.Deadline < now + load.Typical) {
+      turnAway(service.Queue.drop(it.Index), load.Typical);
+      return true;
     }
+    if (!grant(service, entry, true, now))
+      continue;
+    service.Queue.take(it.Index, now);
+    return true;
   }
+  return false;
+}
+
+/// Refuses waiting requests that cannot be answered in their time.
+void Dispatcher::dropHopeless(Service &service, Instant now) {
+  QueueLoad load = loadOf(service, now);
+  while (auto entry = service.Queue.takeHopeless(load, now))
+    turnAway(*entry, load.Typical);
 }
 
 void Dispatcher::turnAway(const QueueEntry &entry, Duration retry) {
@@ -183,7 +196,8 @@
   Service *service = find(done.Service);
   if (!service)
     return;
-  service->Queue.remove(from, done.Request, done.Ordinal);
+  if (done.Instance == 0)
+    service->Queue.remove(from, done.Request, done.Ordinal);
   service->Crashes.note(done.Fingerprint, done.Instance, done.Outcome, now);
   service->Pool.release(from, done, now);
   serve(*service, now);
@@ -225,6 +239,7 @@
   bool busy = false;
   for (Service &it : Services) {
     it.Pool.advance(now);
+    dropHopeless(it, now);
     serve(it, now);
     busy |= !it.Queue.empty() || it.Pool.busy();
   }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -94,6 +94,8 @@
   bool grant(Service &service, const QueueEntry &entry, bool pressed,
              Instant now);
   void serve(Service &service, Instant now);
+  bool serveFirst(Service &service, Instant now);
+  void dropHopeless(Service &service, Instant now);
   void turnAway(const QueueEntry &entry, Duration retry);
   void reply(VmHandle to, const PlaceAsk &ask, PlaceVerdict verdict,
              Duration retry = {});
