--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -134,6 +134,14 @@
   uint64_t Version = 0;
 };
 
+/// Another version of the configuration is in force on this VM.
+struct ConfigInForce {
+  uint64_t Version = 0;
+  uint64_t Before = 0;
+  /// Age of the newest word that the store held this version or an older one.
+  Duration MarkAge{};
+};
+
 /// No request is in progress and the VM was asked to stop.
 struct DrainCompleted {};
 
@@ -142,7 +150,7 @@
                  AbortAnswer, RefuseRequest, ReplayAnswer, SendPeer,
                  MemberChanged, CallShareStore, StoreRead, StoreWrite,
                  StoreWatch, ChangeConcluded, AuditAnswered, DrainCompleted,
-                 Decided, CallPresence>;
+                 ConfigInForce, Decided, CallPresence>;
 
 /// Collects effects. The memory is used again for each event.
 class EffectBuffer {
--- a/src/config_part.h
+++ b/src/config_part.h
@@ -96,6 +96,10 @@
 
   [[nodiscard]] const ConfigKeeper &keeper() const { return Keeper; }
   [[nodiscard]] const Freshness &marks() const { return Marks; }
+  /// \returns the time since the store was last known to hold nothing newer.
+  [[nodiscard]] Duration markAge(Instant now) const {
+    return ageOf(Marks.markedAt(), now);
+  }
   [[nodiscard]] bool watching() const { return Watch.active(); }
 
   /// \returns what was adopted since the last call, for the index.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -397,6 +397,14 @@
   return text;
 }
 
+void Daemon::on(const ConfigInForce &effect) {
+  auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(effect.MarkAge);
+  logLine(LogLevel::Info, "config-in-force",
+          {{"version", static_cast<int64_t>(effect.Version)},
+           {"before", static_cast<int64_t>(effect.Before)},
+           {"mark_age_ms", static_cast<int64_t>(age.count())}});
+}
 void Daemon::on(const DrainCompleted &) {
   // Answers may still be on their way to callers.
   Drained = true;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -77,6 +77,7 @@
   void on(const ChangeConcluded &effect);
   void on(const AuditAnswered &effect);
   void on(const DrainCompleted &effect);
+  void on(const ConfigInForce &effect);
   void on(const Decided &effect);
   void on(const CallPresence &effect);
 
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -68,7 +68,7 @@
 }
 
 Instant Reducer::nextWake() const {
-  return std::min({State->Timers.nextDue(), State->Health.nextTick(),
+  return std::min({State->Timers.nextDue(), State->healthDue(),
                    State->Members.nextDue(), State->Rates.nextWake(),
                    State->Config.nextDue(), State->Dispatch.nextDue(),
                    State->Quotas.nextDue(), State->Presence.nextDue()});
@@ -128,7 +128,7 @@
   }
   Rates.advance(step.Now);
   resumeAsking(step);
-  if (Health.nextTick() <= step.Now)
+  if (healthDue() <= step.Now)
     onHealthTick(step);
   if (Members.nextDue() <= step.Now)
     Members.advance({step.Now, step.Effects});
--- a/src/reducer_config.cpp
+++ b/src/reducer_config.cpp
@@ -42,8 +42,11 @@
   std::vector<CatalogPatch> patches = Config.takeAdopted();
   if (patches.empty())
     return;
+  uint64_t before = Catalog.version();
   for (const CatalogPatch &patch : patches)
     Catalog.apply(patch, Config.keeper().version());
+  step.Effects.push(
+      ConfigInForce{Catalog.version(), before, Config.markAge(step.Now)});
   catalogChanged(step);
 }
 
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -179,6 +179,7 @@
               Duration retryAfter = {});
   void closeRequest(Request &request, Step &step);
   void onDeadline(const Timer &timer, Step &step);
+  [[nodiscard]] Instant healthDue() const;
   void onHealthTick(Step &step);
 
   Limits Bounds;
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -84,6 +84,9 @@
   std::string operator()(const CallPresence &it) const {
     return "presence " + std::to_string(static_cast<int>(it.Call));
   }
+  std::string operator()(const ConfigInForce &it) const {
+    return "config in force " + std::to_string(it.Version);
+  }
   std::string operator()(const DrainCompleted &) const {
     return "drain completed";
   }
