--- a/bench/bench_dispatch.cpp
+++ b/bench/bench_dispatch.cpp
@@ -73,8 +73,8 @@
   }
 
   void play() {
-    double perSecond = Shape.Instances * SlotCount / inSeconds(Work) *
-                       Shape.LoadPercent / 100;
+    double perSecond =
+        Shape.Instances * SlotCount / inSeconds(Work) * Shape.LoadPercent / 100;
     auto gap = Duration(static_cast<int64_t>(1e6 / perSecond));
     Instant end = Now + RunTime;
     auto begun = std::chrono::steady_clock::now();
--- a/src/dispatch_health.cpp
+++ b/src/dispatch_health.cpp
@@ -35,7 +35,9 @@
 constexpr double MostSlowness = 20;
 
 double decayed(double value, Instant since, Instant now) {
-  return value == 0 ? 0 : value * std::exp2(-inSeconds(now - since) / HalfLifeSeconds);
+  return value == 0
+             ? 0
+             : value * std::exp2(-inSeconds(now - since) / HalfLifeSeconds);
 }
 
 } // namespace
