The bound for zones without the store is 1.75 s

Cause: at 2.0 s the test passed without the question to other zones as well. Before -> after on the same code: at 1.75 s FollowsTheStore/TwoZonesWithoutStore fails without that question, and all five rows pass with it.

--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -422,8 +422,8 @@
 class ReaderFleet : public testing::TestWithParam<ReaderCase> {};
 
 TEST_P(ReaderFleet, FollowsTheStore) {
-  // The platform allows 2.5 s; a place is found within 0.4 s.
-  constexpr Duration Bound = milliseconds(2000);
+  // The platform allows 2.5 s; less a place found in 0.4 s and a slow read.
+  constexpr Duration Bound = milliseconds(1750);
   ConfigFleet fleet(readers());
   begin(fleet, GetParam());
   for (uint32_t change = 1; change <= 12; ++change) {
