Configurations and entries that are not understood leave the rest in force

Cause: the adapter refused a whole configuration for one unknown kind of route ("upload": the further deployment served nothing), and then every VM read the store without end. One entry whose key is not UTF-8 made its page unreadable, so the readers stopped following the store. An entry with 4,000,000,000 slots was a valid instance.

A store without a readable configuration confirms that there is none, so only the appointed watchers read it.

--- a/src/catalog_index.cpp
+++ b/src/catalog_index.cpp
@@ -144,7 +144,7 @@
 
 void CatalogIndex::dropRoute(std::string_view name) {
   RouteHandle handle = RouteNames.find(name);
-  if (!handle.valid() || !Routes[handle.Value].Present)
+  if (!handle.valid() || !Routes[handle.Value].Prefix.valid())
     return;
   RouteEntry &entry = Routes[handle.Value];
   entry.Present = false;
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -171,6 +171,12 @@
     Marks.confirm(SeenVersion, Confirming.Sent);
     return;
   }
+  if (reply.Outcome == StoreOutcome::Missing && Keeper.version() == 0) {
+    // Tells the other VMs that they need not read the store themselves.
+    Reached = true;
+    ConfirmFailed = false;
+    return Marks.confirm(0, Confirming.Sent);
+  }
   if (reply.Outcome != StoreOutcome::Conflict)
     return noteFailure(Confirming.Sent, step);
   Reached = true;
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -69,6 +69,8 @@
     return refuse(request, *refusal, step, otherVmRetryDelay(*refusal));
   request.Repeat = repeatabilityOf(Catalog.at(request.Route), event.Repeat);
   request.Service = Catalog.pickService(request.Route, SplitCounter++);
+  if (!request.Service.valid())
+    return refuse(request, RefusalKind::NoInstance, step, OtherVmRetryDelay);
   Duration quarantine = CrashQuarantine.remaining(event.Fingerprint, step.Now);
   if (quarantine > Duration::zero())
     return refuse(request, RefusalKind::RequestQuarantined, step, quarantine);
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -47,6 +47,8 @@
 }
 
 StoreReplied FakeStore::write(const StoreWrite &request) {
+  if (Faults.HoldsNothing)
+    return {request.Ticket, StoreOutcome::Missing, 0, nullptr};
   auto &entries = Entries[nameOf(request.Key)];
   uint64_t revision = entries.empty() ? 0 : entries.back().Revision;
   if (revision != request.Expected)
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -25,6 +25,8 @@
   bool LosesReplies = false;
   /// Reads return old revisions.
   bool ReturnsStaleReads = false;
+  /// The store answers, but holds no configuration that can be read.
+  bool HoldsNothing = false;
 };
 
 /// The store: compare-and-swap, reads, watches.
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -472,6 +472,23 @@
                            return std::string(it.param.Name);
                          });
 
+TEST(EmptyStore, IsReadNoMoreOftenThanACalmOne) {
+  constexpr Duration Time = seconds(30);
+  constexpr Duration Bound = milliseconds(1750);
+  ConfigFleet calm(readerInit());
+  calm.writeCatalog(largeCatalog(20, 0));
+  calm.run(Time);
+  ConfigFleet fleet(readerInit());
+  fleet.Store.Faults.HoldsNothing = true;
+  fleet.run(Time);
+  EXPECT_LE(fleet.Store.Calls, calm.Store.Calls);
+  fleet.Store.Faults.HoldsNothing = false;
+  uint64_t version = fleet.writeCatalog(largeCatalog(20, 0));
+  fleet.run(Bound);
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    EXPECT_GE(fleet.version(vm), version) << "vm" << vm;
+}
+
 struct Scenario {
   std::string_view Name;
   void (*Run)(ConfigFleet &fleet);
--- a/tools/standin_store.cpp
+++ b/tools/standin_store.cpp
@@ -178,6 +178,16 @@
   uint64_t LastLease = 0;
 };
 
+/// Restores bytes that are not UTF-8, for which JSON texts have a replacement
+/// character, to a byte that is not UTF-8 either.
+std::string rawKeys(std::string text) {
+  constexpr std::string_view Replacement = "\xef\xbf\xbd";
+  for (size_t at = text.find(Replacement); at != std::string::npos;
+       at = text.find(Replacement, at))
+    text.replace(at, Replacement.size(), "\xff");
+  return text;
+}
+
 /// One value of a query.
 std::string queryValue(std::string_view target, std::string_view name) {
   size_t mark = target.find('?');
@@ -250,7 +260,9 @@
       Answer answer = handle(client.Reader->head(), client.Body);
       client.Reader.reset();
       client.Body.clear();
-      std::string text = answer.Body.dump();
+      // Keys that are not UTF-8 go out as they are.
+      std::string text = rawKeys(
+          answer.Body.dump(-1, ' ', false, Json::error_handler_t::replace));
       stream.write("HTTP/1.1 " + std::to_string(answer.Status) +
                    " Answer\r\ncontent-type: application/json\r\n"
                    "content-length: " +
