--- a/bench/bench_config.cpp
+++ b/bench/bench_config.cpp
@@ -276,6 +276,11 @@
     receive({2}, delta);
   }
 
+  void on(const SendPeers &effect) {
+    for (VmHandle to : effect.To)
+      on(SendPeer{to, effect.Body});
+  }
+
   void on(const SendPeer &effect) {
     Buffer.clear();
     SentBytes += encode(effect.Body, Buffer);
--- a/include/guavasail/catalog.h
+++ b/include/guavasail/catalog.h
@@ -29,6 +29,8 @@
   bool Leaving = false;
   /// The instance started recently and is still warming up.
   bool Cold = false;
+
+  friend bool operator==(const InstanceSpec &, const InstanceSpec &) = default;
 };
 
 /// A set of interchangeable instances.
--- a/include/guavasail/dispatch.h
+++ b/include/guavasail/dispatch.h
@@ -41,7 +41,7 @@
   /// Retries allowed for a service within `RetryWindow`: a percentage of its
   /// requests plus a fixed number.
   uint32_t RetryPercent = 20;
-  uint32_t RetrySlack = 10;
+  uint32_t RetrySlack = 25;
   Duration RetryWindow = std::chrono::seconds(10);
   uint64_t Seed = 1;
 };
--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -73,6 +73,12 @@
   PeerBody Body;
 };
 
+/// Send the same message to several daemons. Delivery is not guaranteed.
+struct SendPeers {
+  std::vector<VmHandle> To;
+  PeerBody Body;
+};
+
 /// The state of a VM, this one included, changed in this VM's member list.
 struct MemberChanged {
   VmHandle Vm;
@@ -152,7 +158,7 @@
                  AbortResponse, RefuseRequest, ReplayResponse, SendPeer,
                  MemberChanged, CallShareStore, StoreRead, StoreWrite,
                  StoreWatch, ChangeConcluded, AuditReply, DrainCompleted,
-                 ConfigActivated, RequestDecision, CallPresence>;
+                 ConfigActivated, RequestDecision, CallPresence, SendPeers>;
 
 /// Collects effects and reuses its memory for each event.
 class EffectBuffer {
--- a/include/guavasail/member.h
+++ b/include/guavasail/member.h
@@ -48,6 +48,8 @@
   bool Leaving = false;
   /// Incarnation of the start that registered the VM; 0 if the list has none.
   uint64_t Incarnation = 0;
+  /// Processor of the VM, in percent of a core; 0 if unknown.
+  uint32_t CpuPercent = 0;
 };
 
 /// One VM of the fleet. A handle stays valid for at least `GoneMemberLifetime`
@@ -70,6 +72,8 @@
   bool DirectlyReachable = true;
   /// When `State` last changed.
   Instant StateChangedAt{};
+  /// Processor of the VM, in percent of a core; 0 if unknown.
+  uint32_t CpuPercent = 0;
 };
 
 /// Time for which a VM that is gone keeps its handle.
@@ -105,6 +109,14 @@
   Instant DeclaredGoneAt{};
   /// True if this VM learned that the platform removed it.
   bool SelfRemoved = false;
+  /// Least processor of the VMs that do work for the whole fleet.
+  uint32_t MinSharedWorkCpuPercent = 0;
+
+  /// \returns true if \p vm has enough processor to do work for the whole
+  /// fleet.
+  [[nodiscard]] bool isStrong(const VmEntry &vm) const {
+    return vm.CpuPercent >= MinSharedWorkCpuPercent;
+  }
 
   [[nodiscard]] const VmEntry &at(VmHandle vm) const { return Vms[vm.Value]; }
 
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -80,6 +80,7 @@
   uint32_t PeerPort = 0;
   std::string Zone;
   std::string Region;
+  uint32_t CpuPercent = 0;
 };
 
 /// Asks the receiver for a `MemberAck`.
--- a/include/guavasail/presence.h
+++ b/include/guavasail/presence.h
@@ -5,6 +5,7 @@
 
 #include "guavasail/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace guavasail {
@@ -51,6 +52,8 @@
   Duration RenewInterval = std::chrono::seconds(2);
   /// Interval between reads of the list; shorter in the first seconds.
   Duration ListInterval = std::chrono::seconds(4);
+  /// Size of the fleet above which the interval grows with it.
+  size_t VmsPerListInterval = 40;
   Duration InitialListInterval = std::chrono::milliseconds(700);
   uint64_t Seed = 1;
 };
--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -114,10 +114,12 @@
   std::string Address;
   uint32_t PeerPort = 0;
   std::string Region;
-  /// Retry budget of a service for each window: a percentage of its requests
-  /// plus a fixed number.
+  /// Processor of this VM in cores, as a decimal number; empty if unknown.
+  std::string CpuShare;
+  /// Retry budget of a service for each window, over all VMs: a percentage of
+  /// its requests plus a fixed number.
   uint32_t RetryPercent = 20;
-  uint32_t RetrySlack = 10;
+  uint32_t RetrySlack = 25;
   Duration RetryWindow = std::chrono::seconds(10);
   /// Time within which the accepted withdrawal of a key takes effect on all
   /// VMs.
--- a/include/guavasail/store.h
+++ b/include/guavasail/store.h
@@ -49,12 +49,27 @@
   std::vector<WorkspaceSpec> Workspaces;
 };
 
-/// A difference between two catalogs.
+/// An instance that a service gains, or whose entry changes.
+struct InstancePut {
+  std::string Service;
+  InstanceSpec Spec;
+};
+
+/// An instance that a service loses.
+struct InstanceDrop {
+  std::string Service;
+  std::string Name;
+};
+
+/// A difference between two catalogs. A service in `Put` comes with all of its
+/// instances; the instances of other services change one by one.
 struct CatalogPatch {
   CatalogChunk Put;
   std::vector<std::string> DropServices;
   std::vector<std::string> DropRoutes;
   std::vector<std::string> DropWorkspaces;
+  std::vector<InstancePut> PutInstances;
+  std::vector<InstanceDrop> DropInstances;
 };
 
 /// One item of an audit record. The texts contain key ids, never key digests.
--- a/src/catalog_index.cpp
+++ b/src/catalog_index.cpp
@@ -125,12 +125,40 @@
     dropService(it.Name);
   for (const ServiceSpec &it : patch.Put.Services)
     acceptService(it);
+  for (const InstanceDrop &it : patch.DropInstances)
+    dropInstance(it);
+  for (const InstancePut &it : patch.PutInstances)
+    putInstance(it);
   for (const WorkspaceSpec &it : patch.Put.Workspaces)
     acceptWorkspace(it);
   for (const RouteSpec &it : patch.Put.Routes)
     acceptRoute(it);
 }
 
+void CatalogIndex::dropInstance(const InstanceDrop &drop) {
+  InstanceHandle handle = InstanceNames.find(drop.Service + "/" + drop.Name);
+  if (!handle.valid() || !Instances[handle.Value].Present)
+    return;
+  InstanceEntry &entry = Instances[handle.Value];
+  entry.Present = false;
+  std::erase(Services[entry.Service.Value].Instances, handle);
+}
+
+void CatalogIndex::putInstance(const InstancePut &put) {
+  ServiceHandle service = ServiceNames.find(put.Service);
+  if (!service.valid() || service.Value >= Services.size())
+    return;
+  InstanceHandle handle =
+      InstanceNames.intern(put.Service + "/" + put.Spec.Name);
+  InstanceEntry &entry = entryAt(Instances, handle);
+  if (!entry.Present)
+    Services[service.Value].Instances.push_back(handle);
+  entry.Spec = put.Spec;
+  entry.Service = service;
+  entry.Zone = ZoneNames.intern(put.Spec.Zone);
+  entry.Present = true;
+}
+
 void CatalogIndex::dropService(std::string_view name) {
   ServiceHandle handle = ServiceNames.find(name);
   if (!handle.valid() || handle.Value >= Services.size())
--- a/src/catalog_index.h
+++ b/src/catalog_index.h
@@ -159,6 +159,8 @@
                       const InstanceSpec &spec);
   void acceptWorkspace(const WorkspaceSpec &spec);
   void acceptRoute(const RouteSpec &spec);
+  void putInstance(const InstancePut &put);
+  void dropInstance(const InstanceDrop &drop);
   void dropService(std::string_view name);
   void dropRoute(std::string_view name);
   void dropWorkspace(std::string_view name);
--- a/src/config_chunks.cpp
+++ b/src/config_chunks.cpp
@@ -104,11 +104,15 @@
   return hash.finish();
 }
 
+size_t specBytes(const InstanceSpec &spec) {
+  return EntryOverheadBytes + spec.Name.size() + spec.Address.size() +
+         spec.Zone.size();
+}
+
 size_t specBytes(const ServiceSpec &spec) {
   size_t n = EntryOverheadBytes + spec.Name.size();
   for (const InstanceSpec &it : spec.Instances)
-    n += EntryOverheadBytes + it.Name.size() + it.Address.size() +
-         it.Zone.size();
+    n += specBytes(it);
   return n;
 }
 
@@ -170,6 +174,65 @@
       drop.push_back(it.Name);
 }
 
+/// \returns true if the instances of a service are ordered by name, so that a
+/// patch of single instances gives the same service on each VM.
+bool hasOrderedInstances(const ServiceSpec &spec) {
+  return std::is_sorted(
+      spec.Instances.begin(), spec.Instances.end(),
+      [](const auto &a, const auto &b) { return a.Name < b.Name; });
+}
+
+/// Adds the difference between two versions of a service to \p patch.
+void diffService(const ServiceSpec &before, const ServiceSpec &after,
+                 CatalogPatch &patch) {
+  bool byInstance = before.FloorPercent == after.FloorPercent &&
+                    hasOrderedInstances(before) && hasOrderedInstances(after);
+  if (!byInstance) {
+    if (specDigest(before) != specDigest(after))
+      patch.Put.Services.push_back(after);
+    return;
+  }
+  std::vector<InstanceSpec> put;
+  std::vector<std::string> drop;
+  diffEntries(before.Instances, after.Instances, put, drop);
+  for (InstanceSpec &it : put)
+    patch.PutInstances.push_back({after.Name, std::move(it)});
+  for (std::string &it : drop)
+    patch.DropInstances.push_back({after.Name, std::move(it)});
+}
+
+void diffServices(const std::vector<ServiceSpec> &before,
+                  const std::vector<ServiceSpec> &after, CatalogPatch &patch) {
+  for (const ServiceSpec &it : after) {
+    if (const ServiceSpec *old = findEntry(before, it.Name))
+      diffService(*old, it, patch);
+    else
+      patch.Put.Services.push_back(it);
+  }
+  for (const ServiceSpec &it : before)
+    if (!findEntry(after, it.Name))
+      patch.DropServices.push_back(it.Name);
+}
+
+/// \returns the service called \p name in \p chunk, null if there is none.
+ServiceSpec *serviceIn(CatalogChunk &chunk, std::string_view name) {
+  auto it = lowerBoundByName(chunk.Services, name);
+  return it != chunk.Services.end() && it->Name == name ? &*it : nullptr;
+}
+
+/// Applies the changes of single instances that belong to \p slot.
+void patchInstances(CatalogChunk &chunk, uint32_t slot,
+                    const CatalogPatch &patch) {
+  for (const InstanceDrop &it : patch.DropInstances)
+    if (slotOf(ItemKind::Service, it.Service) == slot)
+      if (ServiceSpec *service = serviceIn(chunk, it.Service))
+        dropSorted(service->Instances, it.Name);
+  for (const InstancePut &it : patch.PutInstances)
+    if (slotOf(ItemKind::Service, it.Service) == slot)
+      if (ServiceSpec *service = serviceIn(chunk, it.Service))
+        putSorted(service->Instances, it.Spec);
+}
+
 /// Copies entries until \p limit bytes are reached.
 class Slice {
 public:
@@ -239,6 +302,19 @@
   return n;
 }
 
+size_t patchBytes(const CatalogPatch &patch) {
+  size_t n = chunkBytes(patch.Put);
+  for (const InstancePut &it : patch.PutInstances)
+    n += it.Service.size() + specBytes(it.Spec);
+  for (const InstanceDrop &it : patch.DropInstances)
+    n += it.Service.size() + it.Name.size();
+  for (const auto *names :
+       {&patch.DropServices, &patch.DropRoutes, &patch.DropWorkspaces})
+    for (const std::string &it : *names)
+      n += it.size();
+  return n;
+}
+
 size_t chunkEntries(const CatalogChunk &chunk) {
   return chunk.Services.size() + chunk.Routes.size() + chunk.Workspaces.size();
 }
@@ -264,8 +340,7 @@
 
 void diffChunk(const CatalogChunk &before, const CatalogChunk &after,
                CatalogPatch &patch) {
-  diffEntries(before.Services, after.Services, patch.Put.Services,
-              patch.DropServices);
+  diffServices(before.Services, after.Services, patch);
   diffEntries(before.Routes, after.Routes, patch.Put.Routes, patch.DropRoutes);
   diffEntries(before.Workspaces, after.Workspaces, patch.Put.Workspaces,
               patch.DropWorkspaces);
@@ -340,6 +415,7 @@
   put(ItemKind::Service, patch.Put.Services);
   put(ItemKind::Route, patch.Put.Routes);
   put(ItemKind::Workspace, patch.Put.Workspaces);
+  patchInstances(chunk, slot, patch);
 }
 
 } // namespace guavasail
--- a/src/config_chunks.h
+++ b/src/config_chunks.h
@@ -35,6 +35,9 @@
 /// \returns an upper estimate of the encoded size of \p chunk in bytes.
 size_t chunkBytes(const CatalogChunk &chunk);
 
+/// \returns an upper estimate of the encoded size of \p patch in bytes.
+size_t patchBytes(const CatalogPatch &patch);
+
 /// \returns the number of entries of \p chunk.
 size_t chunkEntries(const CatalogChunk &chunk);
 
--- a/src/config_keeper.cpp
+++ b/src/config_keeper.cpp
@@ -40,6 +40,10 @@
   addEntries(ItemKind::Service, patch.Put.Services);
   addEntries(ItemKind::Route, patch.Put.Routes);
   addEntries(ItemKind::Workspace, patch.Put.Workspaces);
+  for (const InstancePut &it : patch.PutInstances)
+    slots.push_back(slotOf(ItemKind::Service, it.Service));
+  for (const InstanceDrop &it : patch.DropInstances)
+    slots.push_back(slotOf(ItemKind::Service, it.Service));
   std::sort(slots.begin(), slots.end());
   slots.erase(std::unique(slots.begin(), slots.end()), slots.end());
   return slots;
--- a/src/config_part.cpp
+++ b/src/config_part.cpp
@@ -11,20 +11,25 @@
 constexpr auto FreshNames = std::to_array<std::string_view>(
     {"confirmed", "store-away", "behind", "cut-off"});
 
-// A change has to be in force 2 s after its acceptance. Each of the two
-// watchers of a zone reads it within one interval and pushes it to the zone.
+// A change has to be in force 2 s after its acceptance. Each of the readers
+// sees it within one interval and pushes it through the watchers of the zones.
+constexpr uint32_t ReaderCount = 2;
 constexpr Duration ReaderConfirmInterval = std::chrono::milliseconds(1100);
 constexpr Duration ReaderAskInterval = std::chrono::milliseconds(600);
 constexpr Duration ReaderWatcherTimeout = std::chrono::milliseconds(1000);
-// Without faults a mark is at most one confirm and one ask interval old. A
-// withdrawn key must be refused after 5 s.
-constexpr Duration ReaderUrgentMarkAge = std::chrono::milliseconds(2200);
-constexpr Duration ReaderDirectWatchMarkAge = std::chrono::milliseconds(2400);
+constexpr Duration ReaderAloneGraceTime = std::chrono::milliseconds(1200);
+// Without faults a mark is at most one confirm interval and two ask intervals
+// old. A withdrawn key must be refused after 5 s.
+constexpr Duration ReaderUrgentMarkAge = std::chrono::milliseconds(2300);
+constexpr Duration ReaderDirectWatchMarkAge = std::chrono::milliseconds(2600);
 
 } // namespace
 
 void useReaderTimes(ConfigInit &config) {
   config.Store.ConfirmInterval = ReaderConfirmInterval;
+  config.Store.VersionsNameContent = true;
+  config.Sync.Readers = ReaderCount;
+  config.Sync.AloneGraceTime = ReaderAloneGraceTime;
   config.Sync.AskInterval = ReaderAskInterval;
   config.Sync.WatcherTimeout = ReaderWatcherTimeout;
   config.Sync.DirectWatchMarkAge = ReaderDirectWatchMarkAge;
@@ -76,7 +81,7 @@
     Audit.onReply(reply, context.Effects);
     break;
   }
-  publishAdopted(step);
+  publishAdopted(step, reply.Ticket.User == StoreUser::Watch);
 }
 
 void ConfigPart::onPeer(VmHandle from, const ConfigMark &message,
@@ -114,13 +119,14 @@
 
 /// Announces adopted versions to the other components until the version no
 /// longer changes.
-void ConfigPart::publishAdopted(const ConfigStep &step) {
+void ConfigPart::publishAdopted(const ConfigStep &step, bool read) {
   Watch.allowRead(std::max(Watch.readVersion(), Writer.baseVersion()));
   while (PublishedVersion != Keeper.version()) {
     uint64_t from = PublishedVersion;
     PublishedVersion = Keeper.version();
     Marks.adopt(PublishedVersion);
-    Sync.onAdopted(from, Writer.takeWritten(), step);
+    bool spreads = Writer.takeWritten() || (read && Sync.readsForFleet());
+    Sync.onAdopted(from, spreads, step);
     Writer.onTick(step);
   }
   Watch.onTick(step);
--- a/src/config_part.h
+++ b/src/config_part.h
@@ -111,7 +111,8 @@
 
 private:
   ConfigStep makeStep(const ConfigContext &context) const;
-  void publishAdopted(const ConfigStep &step);
+  /// \param read true if the store replied in this step.
+  void publishAdopted(const ConfigStep &step, bool read = false);
 
   bool UsesStore;
   ConfigKeeper Keeper;
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -8,11 +8,20 @@
 
 /// Distinguishes watchers from other uses of rendezvous hashing.
 constexpr uint64_t WatcherHashKey = 0x77617463;
+constexpr uint64_t ReaderHashKey = 0x72656164;
 constexpr size_t MaxDeltas = 8;
 /// Staggers the VMs of a zone that lost its watchers. Together with the ask
 /// interval and the watcher timeout, the first of them reads the store within
 /// the 2.5 s allowed for a change.
 constexpr Duration MaxTakeoverJitter = std::chrono::milliseconds(400);
+/// The same for watchers that take over from the readers.
+constexpr int TakeoverJitterDivisor = 4;
+
+/// \returns true if \p vm can read the store and answer others.
+bool mayWatch(const MemberView &members, const VmEntry &vm) {
+  bool self = members.Self.valid() && &vm == &members.at(members.Self);
+  return self || isReachable(vm);
+}
 
 } // namespace
 
@@ -20,14 +29,29 @@
                          const SyncTimes &times) {
   uint32_t vms = 0;
   auto eligible = [&](const VmEntry &vm) {
-    bool self = members.Self.valid() && &vm == &members.at(members.Self);
-    return vm.Zone == zone && (self || isReachable(vm));
+    return vm.Zone == zone && mayWatch(members, vm);
   };
   for (const VmEntry &vm : members.Vms)
     vms += eligible(vm) ? 1 : 0;
   size_t count = std::max(times.MinWatchers, vms / times.VmsPerWatcher);
   std::span<VmHandle> room(Items.data(), std::min(count, MaxWatchers));
-  Count = rendezvousTop(WatcherHashKey, members, eligible, room).size();
+  auto eligibleAndStrong = [&](const VmEntry &vm) {
+    return members.isStrong(vm) && eligible(vm);
+  };
+  Count =
+      rendezvousTop(WatcherHashKey, members, eligibleAndStrong, room).size();
+  if (Count < times.MinWatchers)
+    Count = rendezvousTop(WatcherHashKey, members, eligible, room).size();
+}
+
+void WatcherSet::computeReaders(const MemberView &members,
+                                const SyncTimes &times) {
+  auto eligible = [&](const VmEntry &vm) {
+    return members.isStrong(vm) && mayWatch(members, vm);
+  };
+  std::span<VmHandle> room(Items.data(),
+                           std::min<size_t>(times.Readers, MaxWatchers));
+  Count = rendezvousTop(ReaderHashKey, members, eligible, room).size();
 }
 
 bool WatcherSet::contains(VmHandle vm) const {
@@ -41,6 +65,8 @@
 
 void ConfigSync::updateOwnWatchers(const ConfigStep &step) {
   OwnWatchers.compute(step.Members, step.Zone, Times);
+  if (readsForFleet())
+    Readers.computeReaders(step.Members, Times);
 }
 
 void ConfigSync::onTick(bool storeUnreachable, const ConfigStep &step) {
@@ -62,15 +88,23 @@
                 ageOf(Marks.markedAt(), step.Now) >= Times.UrgentMarkAge;
   ++Round;
   sendAsks(step, urgent);
-  NextAsk = deadlineAfter(step.Now,
-                          urgent ? Times.UrgentAskInterval : Times.AskInterval);
+  bool asksReaders = readsForFleet() && OwnWatchers.contains(step.Members.Self);
+  Duration interval = urgent ? Times.UrgentAskInterval : Times.AskInterval;
+  if (asksReaders)
+    interval = std::min(interval, Times.WatcherAskInterval);
+  NextAsk = deadlineAfter(step.Now, interval);
 }
 
 void ConfigSync::sendAsks(const ConfigStep &step, bool urgent) {
   bool watcher = OwnWatchers.contains(step.Members.Self);
-  askZoneWatcher(step.Zone, step);
+  if (!watcher || !readsForFleet() || urgent)
+    askZoneWatcher(step.Zone, step);
+  if (watcher)
+    for (VmHandle vm : Readers.items())
+      if (vm != step.Members.Self)
+        ask(vm, step);
   size_t zones = step.Reach.Zones.size();
-  if (watcher && !urgent && zones > 1)
+  if (watcher && !urgent && zones > 1 && !readsForFleet())
     askZoneWatcher(step.Reach.Zones[1 + Round % (zones - 1)], step);
   if (!urgent)
     return;
@@ -131,7 +165,7 @@
   // Deltas go first, so that the requester need not fetch the version that the
   // mark announces.
   if (message.Version > 0 && message.Version < Keeper.version())
-    sendDeltas(from, message.Version, step);
+    sendDeltas({&from, 1}, message.Version, step);
   send(from, std::move(mark), step);
   if (message.Version > Keeper.version())
     fetch(from, step);
@@ -166,16 +200,16 @@
   send(from, ConfigFetch{Keeper.version(), false}, step);
 }
 
-bool ConfigSync::sendDeltas(VmHandle to, uint64_t version,
+bool ConfigSync::sendDeltas(std::span<const VmHandle> to, uint64_t version,
                             const ConfigStep &step) {
   auto deltas = Keeper.deltasSince(version);
   if (deltas.empty() || deltas.size() > MaxDeltas)
     return false;
   for (const ConfigDelta *it : deltas)
-    if (chunkBytes(it->Patch.Put) > Times.MaxPushBytes)
+    if (patchBytes(it->Patch) > Times.MaxPushBytes)
       return false;
   for (const ConfigDelta *it : deltas)
-    send(to, *it, step);
+    step.Effects.push(SendPeers{{to.begin(), to.end()}, *it});
   return true;
 }
 
@@ -183,7 +217,7 @@
                         const ConfigStep &step) {
   if (message.Version >= Keeper.version())
     return;
-  if (message.Whole || !sendDeltas(from, message.Version, step))
+  if (message.Whole || !sendDeltas({&from, 1}, message.Version, step))
     send(from, ConfigHeadUpdate{Keeper.head()}, step);
 }
 
@@ -257,50 +291,69 @@
   requestChunk(step);
 }
 
-void ConfigSync::onAdopted(uint64_t from, bool written,
+void ConfigSync::onAdopted(uint64_t from, bool spreads,
                            const ConfigStep &step) {
   if (!Times.Push)
     return;
   updateOwnWatchers(step);
-  bool watcher = OwnWatchers.contains(step.Members.Self);
-  if (watcher)
+  if (OwnWatchers.contains(step.Members.Self))
     pushToZone(from, step);
-  if (!written)
-    return;
-  if (!watcher)
-    for (VmHandle vm : OwnWatchers.items())
-      sendDeltas(vm, from, step);
-  for (ZoneHandle zone : step.Reach.Zones) {
-    if (zone == step.Zone)
-      continue;
-    OtherWatchers.compute(step.Members, zone, Times);
-    for (VmHandle vm : OtherWatchers.items())
-      sendDeltas(vm, from, step);
-  }
+  if (spreads)
+    pushToWatchers(from, step);
 }
 
 void ConfigSync::pushToZone(uint64_t from, const ConfigStep &step) {
+  PushTargets.clear();
   for (uint32_t n = 0; n < step.Members.Vms.size(); ++n) {
     const VmEntry &vm = step.Members.Vms[n];
-    VmHandle to{n};
-    if (vm.Zone != step.Zone || !isReachable(vm) || OwnWatchers.contains(to))
-      continue;
     // Every watcher pushes to the whole zone, since another one may have
     // failed; duplicates are ignored.
-    sendDeltas(to, from, step);
+    if (vm.Zone == step.Zone && isReachable(vm) && !OwnWatchers.contains({n}))
+      PushTargets.push_back({n});
+  }
+  sendDeltas(PushTargets, from, step);
+}
+
+/// Pushes to the watchers of all zones, for their VMs.
+void ConfigSync::pushToWatchers(uint64_t from, const ConfigStep &step) {
+  PushTargets.clear();
+  auto add = [&](const WatcherSet &watchers) {
+    for (VmHandle vm : watchers.items())
+      if (vm != step.Members.Self)
+        PushTargets.push_back(vm);
+  };
+  add(OwnWatchers);
+  for (ZoneHandle zone : step.Reach.Zones) {
+    if (zone == step.Zone)
+      continue;
+    OtherWatchers.compute(step.Members, zone, Times);
+    add(OtherWatchers);
   }
+  sendDeltas(PushTargets, from, step);
 }
 
-bool ConfigSync::shouldWatch(const ConfigStep &step) const {
-  bool alone = step.Members.Vms.size() <= 1;
-  if (alone || OwnWatchers.contains(step.Members.Self))
+bool ConfigSync::shouldWatch(const ConfigStep &step) {
+  bool knowsOthers = step.Members.Vms.size() > 1;
+  bool waits = Started == Instant::min() ||
+               step.Now < deadlineAfter(Started, Times.AloneGraceTime);
+  if (!knowsOthers)
+    return !waits || Times.AloneGraceTime == Duration::zero();
+  VmHandle self = step.Members.Self;
+  bool watcher = OwnWatchers.contains(self);
+  if (readsForFleet() ? Readers.contains(self) : watcher)
     return true;
   if (Started == Instant::min())
     return false;
+  Instant marked = std::max(Marks.markedAt(), Started);
+  Duration jitter = TakeoverJitter / TakeoverJitterDivisor;
+  if (watcher && step.Now - marked >= Times.TakeoverMarkAge + jitter)
+    TakeoverUntil = deadlineAfter(step.Now, Times.TakeoverTime);
+  if (step.Now < TakeoverUntil)
+    return true;
   Instant lastAnswer = std::max(LastWatcherAnswer, Started);
-  if (step.Now - lastAnswer >= Times.WatcherTimeout + TakeoverJitter)
+  if (!watcher &&
+      step.Now - lastAnswer >= Times.WatcherTimeout + TakeoverJitter)
     return true;
-  Instant marked = std::max(Marks.markedAt(), Started);
   return step.Now - marked >= Times.DirectWatchMarkAge + TakeoverJitter;
 }
 
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -34,6 +34,18 @@
   Duration DirectWatchMarkAge = std::chrono::milliseconds(2000);
   /// If false, versions spread through mark requests only; for comparisons.
   bool Push = true;
+  /// VMs that read the store for the whole fleet and push what they read to the
+  /// watchers of all zones; 0 if the watchers of each zone read it.
+  uint32_t Readers = 0;
+  /// Between two requests of a watcher to the readers.
+  Duration WatcherAskInterval = std::chrono::milliseconds(400);
+  /// A watcher whose mark is older reads the store itself for `TakeoverTime`,
+  /// since the readers may have lost it.
+  Duration TakeoverMarkAge = std::chrono::milliseconds(1550);
+  Duration TakeoverTime = std::chrono::seconds(4);
+  /// Time after its start for which a VM that knows no other one waits for the
+  /// list of VMs before it reads the store.
+  Duration AloneGraceTime{};
   /// Least number of watchers of a zone, and the number of VMs per watcher in
   /// larger zones.
   uint32_t MinWatchers = 2;
@@ -48,13 +60,15 @@
 /// Largest number of watchers of one zone.
 inline constexpr size_t MaxWatchers = 8;
 
-/// The watchers of one zone. All VMs with the same member list compute the
-/// same set.
+/// The watchers of one zone, or the readers of the fleet. All VMs with the same
+/// member list compute the same set.
 class WatcherSet {
 public:
-  /// Computes the watchers of \p zone.
+  /// Computes the watchers of \p zone, strong VMs first of all.
   void compute(const MemberView &members, ZoneHandle zone,
                const SyncTimes &times);
+  /// Computes the VMs that read the store for all zones.
+  void computeReaders(const MemberView &members, const SyncTimes &times);
 
   [[nodiscard]] std::span<const VmHandle> items() const {
     return {Items.data(), Count};
@@ -91,11 +105,14 @@
   void onPeer(VmHandle from, const ConfigChunkPart &message,
               const ConfigStep &step);
 
-  /// Pushes an adopted version: a watcher to its zone, the writer to the
-  /// watchers of all zones.
+  /// Pushes an adopted version: a watcher to its zone, the VM from which it
+  /// spreads to the watchers of all zones.
   /// \param from the version in force before.
-  /// \param written true if this VM wrote it.
-  void onAdopted(uint64_t from, bool written, const ConfigStep &step);
+  /// \param spreads true if this VM wrote it, or read it for the fleet.
+  void onAdopted(uint64_t from, bool spreads, const ConfigStep &step);
+
+  /// \returns true if versions that this VM reads spread from it to all zones.
+  [[nodiscard]] bool readsForFleet() const { return Times.Readers > 0; }
 
   /// \returns when `onTick` is due next.
   [[nodiscard]] Instant nextDue() const {
@@ -104,7 +121,7 @@
 
   /// \returns true if this VM is a watcher of its zone, or has to act as one
   /// because none answers.
-  [[nodiscard]] bool shouldWatch(const ConfigStep &step) const;
+  [[nodiscard]] bool shouldWatch(const ConfigStep &step);
 
   /// \returns true if a peer has answered recently.
   [[nodiscard]] bool hasRecentPeerAnswer(Instant now) const;
@@ -124,8 +141,10 @@
   VmHandle randomPeer(const ConfigStep &step);
   void fetch(VmHandle from, const ConfigStep &step);
   void requestChunk(const ConfigStep &step);
-  bool sendDeltas(VmHandle to, uint64_t version, const ConfigStep &step);
+  bool sendDeltas(std::span<const VmHandle> to, uint64_t version,
+                  const ConfigStep &step);
   void pushToZone(uint64_t from, const ConfigStep &step);
+  void pushToWatchers(uint64_t from, const ConfigStep &step);
   static void send(VmHandle to, PeerBody body, const ConfigStep &step);
 
   ConfigKeeper &Keeper;
@@ -134,6 +153,9 @@
   std::mt19937_64 Random;
   WatcherSet OwnWatchers;
   WatcherSet OtherWatchers;
+  WatcherSet Readers;
+  Instant TakeoverUntil = Instant::min();
+  std::vector<VmHandle> PushTargets;
   std::array<PendingAsk, MaxPendingAsks> PendingAsks;
   uint32_t LastAskNumber = 0;
   uint32_t Round = 0;
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -201,9 +201,14 @@
   if (!head || reply.Revision <= SeenRevision)
     return;
   SeenRevision = reply.Revision;
-  SeenVersion = ReadVersion = head->Version;
-  Marks.learnVersion(head->Version);
-  Keeper.offerHead(*head);
+  bool known = Times.VersionsNameContent && Keeper.version() > 0 &&
+               head->Chunks == Keeper.head().Chunks;
+  SeenVersion = known ? Keeper.version() : head->Version;
+  if (!known) {
+    ReadVersion = head->Version;
+    Marks.learnVersion(head->Version);
+    Keeper.offerHead(*head);
+  }
   // The head that a confirmation found was the newest when it was sent; a head
   // from a watch has yet to be confirmed.
   if (ConflictRevision > 0 && SeenRevision >= ConflictRevision)
--- a/src/config_watch.h
+++ b/src/config_watch.h
@@ -20,6 +20,9 @@
   Duration RetryInterval = std::chrono::milliseconds(250);
   /// Time after which a confirmation or read counts as lost.
   Duration ReplyTimeout = std::chrono::milliseconds(1000);
+  /// A version is the revision at which its content was read, so that readers
+  /// name the same content differently.
+  bool VersionsNameContent = false;
   /// How long the store keeps a watch open.
   Duration WatchTimeout = std::chrono::seconds(15);
 };
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr unsigned LibraryTimeoutSeconds = 24 * 3600;
+/// Three renewals may be lost before the lease expires.
+constexpr int RenewalsPerLease = 4;
 
 /// \returns the time of the clock that also runs while the VM is paused.
 Instant bootTime() {
@@ -45,6 +48,15 @@
   return static_cast<uint64_t>(millis.count()) * (MemberRefutationMask + 1);
 }
 
+/// \returns a number of cores in percent, at least 1; 0 for an empty text.
+uint32_t cpuPercentOf(const std::string &cores) {
+  constexpr double Hundred = 100;
+  if (cores.empty())
+    return 0;
+  return std::max(
+      1U, static_cast<uint32_t>(std::lround(std::stod(cores) * Hundred)));
+}
+
 /// \returns this VM as others find it; without a port it takes no part in a
 /// fleet.
 VmSpec selfOf(const Settings &settings) {
@@ -62,6 +74,7 @@
   self.Zone = settings.Daemon.Zone;
   self.Region = settings.Fleet.Region;
   self.Incarnation = startIncarnation();
+  self.CpuPercent = cpuPercentOf(settings.Fleet.CpuShare);
   return self;
 }
 
@@ -94,6 +107,7 @@
   init.Dispatch.Seed = init.Seed;
   init.Presence.Enabled = init.UsesStore && fleet.PeerPort > 0;
   init.Presence.Lease = fleet.Lease;
+  init.Presence.RenewInterval = fleet.Lease / RenewalsPerLease;
   init.Presence.Seed = init.Seed;
   init.MaxWithdrawalDelay = fleet.MaxWithdrawalDelay;
   init.AdmitDuringOutage = fleet.AdmitDuringOutage;
@@ -318,6 +332,10 @@
 void Daemon::on(const RefuseRequest &effect) { Front->refuse(effect); }
 void Daemon::on(const ReplayResponse &effect) { Front->replay(effect); }
 void Daemon::on(const SendPeer &effect) {
+  if (Peers)
+    Peers->send(std::span(&effect.To, 1), effect.Body);
+}
+void Daemon::on(const SendPeers &effect) {
   if (Peers)
     Peers->send(effect.To, effect.Body);
 }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -69,6 +69,7 @@
   void on(const RefuseRequest &effect);
   void on(const ReplayResponse &effect);
   void on(const SendPeer &effect);
+  void on(const SendPeers &effect);
   void on(const MemberChanged &effect);
   void on(const CallShareStore &effect);
   void on(const StoreRead &effect);
--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -81,9 +81,10 @@
     uint64_t key = rendezvousKey(catalog.name(it), 0);
     PoolInstance *instance = find(key);
     bool restarted = instance && instance->Started != entry.Spec.Started;
-    if (!instance)
+    if (!instance) {
+      PositionOfKey.emplace(key, Instances.size());
       instance = &Instances.emplace_back();
-    else if (restarted)
+    } else if (restarted)
       *instance = PoolInstance{};
     instance->Handle = it;
     instance->Key = key;
@@ -94,16 +95,19 @@
     instance->Leaving = entry.Spec.Leaving;
     instance->Cold = entry.Spec.Cold;
   }
-  std::erase_if(Instances, [](const PoolInstance &it) {
+  size_t erased = std::erase_if(Instances, [](const PoolInstance &it) {
     return !it.Present && it.Grants.empty();
   });
+  if (erased == 0)
+    return;
+  PositionOfKey.clear();
+  for (size_t n = 0; n < Instances.size(); ++n)
+    PositionOfKey.emplace(Instances[n].Key, n);
 }
 
 PoolInstance *DispatchPool::find(uint64_t key) {
-  auto it = std::find_if(
-      Instances.begin(), Instances.end(),
-      [&](const PoolInstance &instance) { return instance.Key == key; });
-  return it == Instances.end() ? nullptr : &*it;
+  auto it = PositionOfKey.find(key);
+  return it == PositionOfKey.end() ? nullptr : &Instances[it->second];
 }
 
 uint32_t DispatchPool::freeSlots(const PoolInstance &instance) {
--- a/src/dispatch_pool.h
+++ b/src/dispatch_pool.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <span>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace guavasail {
@@ -168,6 +169,8 @@
   PlacementKind Placement;
   std::mt19937_64 Random;
   std::vector<PoolInstance> Instances;
+  /// Positions in `Instances` by key.
+  std::unordered_map<uint64_t, size_t> PositionOfKey;
   std::vector<PoolInstance *> Candidates;
   static constexpr double NoThreshold = -1;
   /// Failure weights of the ejected instances, and the weight up to which an
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -43,6 +43,14 @@
   std::vector<Entry> Entries;
 };
 
+/// \returns the part of a service's slack that one owner may use. Around a
+/// change of ownership two of them count for themselves, and VMs that reach
+/// neither place a few requests.
+constexpr uint32_t ownerSlack(uint32_t slack) {
+  constexpr uint32_t OwnerPercent = 40;
+  return slack * OwnerPercent / 100;
+}
+
 /// Decides which instance runs a request, and when.
 class Dispatcher {
 public:
@@ -83,7 +91,8 @@
   struct Service {
     Service(const DispatchInit &init, uint64_t key)
         : Key(key), Pool(init.Placement, init.Seed ^ key), Queue(init.Queue),
-          Budget(init.RetryPercent, init.RetrySlack, init.RetryWindow) {}
+          Budget(init.RetryPercent, ownerSlack(init.RetrySlack),
+                 init.RetryWindow) {}
 
     uint64_t Key;
     DispatchPool Pool;
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <utility>
 
 namespace guavasail {
@@ -15,6 +16,10 @@
 namespace {
 
 constexpr size_t MaxNameBytes = 64;
+/// VMs that do the work for the whole fleet: at least these, and as many more
+/// as have half of the processor of the last of them.
+constexpr size_t MinStrongVms = 2;
+constexpr size_t VmsPerStrongVm = 64;
 
 /// Precedence of each state among updates of the same incarnation.
 constexpr std::array<uint8_t, 6> StateRanks = {0, 1, 3, 4, 2, 5};
@@ -61,6 +66,10 @@
   entry.PeerPort = spec.PeerPort;
   entry.Zone = zone;
   entry.Region = spec.Region;
+  bool changed = entry.CpuPercent != spec.CpuPercent;
+  entry.CpuPercent = spec.CpuPercent;
+  if (changed || it == Names.end())
+    updateSharedWork();
   return vm;
 }
 
@@ -98,13 +107,16 @@
 void MemberTable::setState(VmHandle vm, VmState state, uint64_t incarnation,
                            Instant now) {
   VmEntry &entry = Vms[vm.Value];
-  bool changed = entry.State != state;
+  VmState before = entry.State;
+  bool changed = before != state;
   entry.State = state;
   entry.Incarnation = incarnation;
   if (!changed)
     return;
   entry.StateChangedAt = now;
   rebuildLive();
+  if (before == VmState::Removed || state == VmState::Removed)
+    updateSharedWork();
 }
 
 void MemberTable::updateLastHeard(VmHandle vm, Instant now) {
@@ -136,6 +148,20 @@
   return it == Zones.end() ? Zones.emplace_back(ZoneEntry{zone}) : *it;
 }
 
+void MemberTable::updateSharedWork() {
+  std::vector<uint32_t> shares;
+  for (const VmEntry &it : Vms)
+    if (!it.Name.empty() && it.State != VmState::Removed)
+      shares.push_back(it.CpuPercent);
+  MinSharedWorkCpuPercent = 0;
+  size_t count = std::max(MinStrongVms, shares.size() / VmsPerStrongVm);
+  if (shares.size() <= count)
+    return;
+  auto last = shares.begin() + static_cast<std::ptrdiff_t>(count) - 1;
+  std::nth_element(shares.begin(), last, shares.end(), std::greater<>());
+  MinSharedWorkCpuPercent = *last / 2;
+}
+
 void MemberTable::rebuildLive() {
   Live.clear();
   for (ZoneEntry &zone : Zones)
@@ -156,6 +182,7 @@
   view.Live = Live;
   view.Zones = Zones;
   view.LastHeard = LastHeard;
+  view.MinSharedWorkCpuPercent = MinSharedWorkCpuPercent;
   return view;
 }
 
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -72,6 +72,7 @@
 
   VmHandle allocate();
   void rebuildLive();
+  void updateSharedWork();
   ZoneEntry &zoneOf(ZoneHandle zone);
 
   std::unordered_map<std::string, VmHandle, NameHash, std::equal_to<>> Names;
@@ -81,6 +82,7 @@
   std::vector<ZoneEntry> Zones;
   VmHandle Self;
   Instant LastHeard{};
+  uint32_t MinSharedWorkCpuPercent = 0;
 };
 
 } // namespace guavasail
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -115,6 +115,7 @@
   if (!vm.valid() && !ended) {
     VmSpec spec{update.Name, update.Address, update.PeerPort, update.Zone,
                 update.Region};
+    spec.CpuPercent = update.CpuPercent;
     vm = Table.addOrUpdate(spec, Zones.zone(update.Zone), step.Now);
   }
   if (vm.valid())
@@ -171,7 +172,7 @@
   if (entry.Zone.valid())
     zone = Zones.name(entry.Zone);
   return {entry.Name,     entry.State, entry.Incarnation, entry.Address,
-          entry.PeerPort, zone,        entry.Region};
+          entry.PeerPort, zone,        entry.Region,      entry.CpuPercent};
 }
 
 void Membership::tickAllToAll(const MemberStep &step) {
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -138,7 +138,7 @@
       &MemberUpdate::Name,        &MemberUpdate::State,
       &MemberUpdate::Incarnation, &MemberUpdate::Address,
       &MemberUpdate::PeerPort,    &MemberUpdate::Zone,
-      &MemberUpdate::Region};
+      &MemberUpdate::Region,      &MemberUpdate::CpuPercent};
 };
 
 template <> struct PeerFields<MemberPing> {
@@ -239,10 +239,21 @@
                                       &CatalogChunk::Workspaces};
 };
 
+template <> struct PeerFields<InstancePut> {
+  static constexpr std::tuple Members{&InstancePut::Service,
+                                      &InstancePut::Spec};
+};
+
+template <> struct PeerFields<InstanceDrop> {
+  static constexpr std::tuple Members{&InstanceDrop::Service,
+                                      &InstanceDrop::Name};
+};
+
 template <> struct PeerFields<CatalogPatch> {
   static constexpr std::tuple Members{
-      &CatalogPatch::Put, &CatalogPatch::DropServices,
-      &CatalogPatch::DropRoutes, &CatalogPatch::DropWorkspaces};
+      &CatalogPatch::Put,          &CatalogPatch::DropServices,
+      &CatalogPatch::DropRoutes,   &CatalogPatch::DropWorkspaces,
+      &CatalogPatch::PutInstances, &CatalogPatch::DropInstances};
 };
 
 template <> struct PeerFields<RecentChange> {
--- a/src/peer_transport_uv.cpp
+++ b/src/peer_transport_uv.cpp
@@ -106,11 +106,17 @@
   return Queues[vm.Value];
 }
 
-void PeerTransport::send(VmHandle to, const PeerBody &body) {
-  Outgoing &out = outgoing(to);
-  bool waits = !out.Via && uv_now(&Loop) < out.RetryMs;
+void PeerTransport::send(std::span<const VmHandle> to, const PeerBody &body) {
   Encoded.clear();
   encode(body, Encoded);
+  for (VmHandle vm : to)
+    enqueue(vm);
+}
+
+/// Queues the encoded message for one VM.
+void PeerTransport::enqueue(VmHandle to) {
+  Outgoing &out = outgoing(to);
+  bool waits = !out.Via && uv_now(&Loop) < out.RetryMs;
   bool fits = Encoded.size() <= MaxPeerMessageBytes &&
               out.Batch.size() + Encoded.size() <= Init.QueueBytes;
   if (!Open || waits || !fits) {
@@ -205,14 +211,13 @@
   PeerLinkInit init{role, Init.SelfName, std::move(peerName), Init.Keys};
   socket.Link = std::make_unique<PeerLink>(init, Factory,
                                            static_cast<PeerLinkOwner &>(*this));
+  SocketOfLink.emplace(socket.Link.get(), &socket);
   return socket;
 }
 
 PeerTransport::Socket *PeerTransport::socketOf(const PeerLink &link) {
-  auto it = std::find_if(Sockets.begin(), Sockets.end(), [&](const auto &item) {
-    return item->Link.get() == &link;
-  });
-  return it == Sockets.end() ? nullptr : it->get();
+  auto it = SocketOfLink.find(&link);
+  return it == SocketOfLink.end() ? nullptr : it->second;
 }
 
 void PeerTransport::onConnection(uv_stream_t *server, int status) {
@@ -313,6 +318,7 @@
 
 void PeerTransport::onClosed(uv_handle_t *handle) {
   auto *socket = static_cast<Socket *>(handle->data);
+  socket->Owner->SocketOfLink.erase(socket->Link.get());
   std::erase_if(socket->Owner->Sockets,
                 [&](const auto &it) { return it.get() == socket; });
 }
--- a/src/peer_transport_uv.h
+++ b/src/peer_transport_uv.h
@@ -12,8 +12,10 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <uv.h>
 #include <vector>
 
@@ -25,8 +27,9 @@
   uint32_t ListenPort = 0;
   std::string SelfName;
   PeerKeyRing Keys;
-  /// Open links, over all VMs.
-  size_t Links = 128;
+  /// Open links, over all VMs. The owner of a busy service has one to each
+  /// other VM.
+  size_t Links = 1024;
   /// Bytes that wait for one VM.
   size_t QueueBytes = 256 * 1024;
   /// Bytes a second that one VM may send, and the most at once.
@@ -63,8 +66,8 @@
   /// \returns false if the address cannot be used.
   bool listen();
 
-  /// Queues a message until `flush`.
-  void send(VmHandle to, const PeerBody &body);
+  /// Queues a message for each VM of \p to until `flush`.
+  void send(std::span<const VmHandle> to, const PeerBody &body);
 
   /// Sends what is queued, one frame for each VM.
   void flush();
@@ -109,6 +112,7 @@
   void onFrame(PeerLink &link, std::span<const uint8_t> payload) override;
   void onFailed(PeerLink &link, PeerLinkFault fault) override;
 
+  void enqueue(VmHandle to);
   Outgoing &outgoing(VmHandle vm);
   Socket &addSocket(PeerLinkRole role, std::string peerName);
   Socket *socketOf(const PeerLink &link);
@@ -139,6 +143,7 @@
   uv_timer_t Timer{};
   bool Open = false;
   std::vector<std::unique_ptr<Socket>> Sockets;
+  std::unordered_map<const PeerLink *, Socket *> SocketOfLink;
   std::vector<Outgoing> Queues;
   std::vector<uint32_t> DirtyQueues;
   std::vector<uint8_t> Encoded;
--- a/src/presence.cpp
+++ b/src/presence.cpp
@@ -41,8 +41,14 @@
   if (NextList <= step.Now) {
     call(PresenceCall::List, step);
     bool first = ListCalls++ < InitialListCalls;
-    NextList = step.Now +
-               withJitter(first ? Init.InitialListInterval : Init.ListInterval);
+    // The reads of the whole fleet stay as many while it grows: further VMs
+    // become known through the others.
+    auto vms =
+        static_cast<int64_t>(std::max(step.Vms, Init.VmsPerListInterval));
+    Duration interval =
+        Init.ListInterval * vms / static_cast<int64_t>(Init.VmsPerListInterval);
+    NextList =
+        step.Now + withJitter(first ? Init.InitialListInterval : interval);
   }
 }
 
--- a/src/presence.h
+++ b/src/presence.h
@@ -14,6 +14,8 @@
 struct PresenceStep {
   Instant Now;
   EffectBuffer &Effects;
+  /// Known VMs.
+  size_t Vms = 0;
 };
 
 /// Schedules the calls that write, renew and withdraw the entry.
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -40,14 +40,17 @@
     buckets.push_back(std::move(bucket));
   }
   Buckets = std::move(buckets);
+  PositionOfKey.clear();
+  Queued = 0;
+  for (const Bucket &it : Buckets)
+    Queued += it.Queue.size();
+  for (size_t n = 0; n < Buckets.size(); ++n)
+    PositionOfKey.emplace(Buckets[n].Limit.Key, n);
 }
 
 QuotaTable::Bucket *QuotaTable::find(uint64_t workspace) {
-  auto it =
-      std::find_if(Buckets.begin(), Buckets.end(), [&](const Bucket &item) {
-        return item.Limit.Key == workspace;
-      });
-  return it == Buckets.end() ? nullptr : &*it;
+  auto it = PositionOfKey.find(workspace);
+  return it == PositionOfKey.end() ? nullptr : &Buckets[it->second];
 }
 
 const QuotaTable::Bucket *QuotaTable::find(uint64_t workspace) const {
@@ -103,6 +106,7 @@
   Duration wait = timeUntilTokens(*bucket, ahead + 1);
   if (wait <= MaxWait && bucket->Queue.size() < MaxWaiting) {
     bucket->Queue.push_back({from, request.Request});
+    ++Queued;
     return;
   }
   reply(from, request.Request, QuotaVerdict::Refused,
@@ -126,6 +130,7 @@
     bucket.Tokens -= 1;
     Waiting it = bucket.Queue.front();
     bucket.Queue.pop_front();
+    --Queued;
     reply(it.Vm, it.Request, QuotaVerdict::Admitted);
   }
 }
@@ -136,9 +141,12 @@
       reply(it.Vm, it.Request, QuotaVerdict::NotOwner);
     bucket.Queue.clear();
   }
+  Queued = 0;
 }
 
 void QuotaTable::advance(Instant now) {
+  if (Queued == 0)
+    return;
   for (Bucket &it : Buckets)
     if (!it.Queue.empty())
       admitWaiting(it, now);
@@ -146,6 +154,8 @@
 
 Instant QuotaTable::nextDue() const {
   Instant due = NeverInstant;
+  if (Queued == 0)
+    return due;
   for (const Bucket &it : Buckets)
     if (!it.Queue.empty())
       due = std::min(due, it.RefilledAt + timeUntilTokens(it, 1));
--- a/src/quota.h
+++ b/src/quota.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace guavasail {
@@ -97,6 +98,10 @@
              Duration retryAfter = {});
 
   std::vector<Bucket> Buckets;
+  /// Positions in `Buckets` by key.
+  std::unordered_map<uint64_t, size_t> PositionOfKey;
+  /// Requests that wait in all buckets.
+  size_t Queued = 0;
   std::vector<QuotaOutput> Out;
   double Share = 1;
   double LocalShare = 0;
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -93,7 +93,9 @@
 void ReducerState::applyCatalog(Step &step) {
   Instances.resize(Catalog.instances().size());
   Health.acceptCatalog(Catalog, step.Now);
-  Subsets.refresh(Catalog, Members.view(), Zone, Bounds.MaxLanesPerInstance);
+  // Owners place requests on all instances.
+  if (Fleet == FleetKind::Alone)
+    Subsets.refresh(Catalog, Members.view(), Zone, Bounds.MaxLanesPerInstance);
   updateRateLimits(step);
   updatePlacement(step);
   Ready = true;
@@ -135,7 +137,7 @@
     Members.advance({step.Now, step.Effects});
   onConfigTick(step);
   advancePlacement(step);
-  Presence.advance({step.Now, step.Effects});
+  Presence.advance({step.Now, step.Effects, Members.view().Vms.size()});
 }
 
 } // namespace guavasail
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -40,13 +40,15 @@
   if (Fleet != FleetKind::Owners)
     return;
   auto instances = Catalog.instances();
+  // Names keep their handles, so only new ones are added.
+  for (auto n = static_cast<uint32_t>(InstanceOfKey.size());
+       n < instances.size(); ++n)
+    InstanceOfKey.emplace(rendezvousKey(Catalog.name(InstanceHandle{n}), 0),
+                          InstanceHandle{n});
   for (uint32_t n = 0; n < instances.size(); ++n) {
-    InstanceHandle handle{n};
-    InstanceOfKey.insert_or_assign(rendezvousKey(Catalog.name(handle), 0),
-                                   handle);
     // An entry that returns under the same name is another incarnation.
     if (!instances[n].Present)
-      Instances.at(handle).Notice = {};
+      Instances.at({n}).Notice = {};
   }
   Dispatch.acceptCatalog(Catalog, step.Now);
   flushPlacement(step);
@@ -61,7 +63,13 @@
     bool skipped = index < BackoffUntil.size() && now < BackoffUntil[index];
     return mayOwn(vm) && !skipped && index != skip.Value;
   };
-  VmHandle owner = rendezvousOwner(key ^ OwnerPurpose, members, eligible);
+  auto eligibleAndStrong = [&](const VmEntry &vm) {
+    return members.isStrong(vm) && eligible(vm);
+  };
+  VmHandle owner =
+      rendezvousOwner(key ^ OwnerPurpose, members, eligibleAndStrong);
+  if (!owner.valid())
+    owner = rendezvousOwner(key ^ OwnerPurpose, members, eligible);
   return owner.valid() ? owner : members.Self;
 }
 
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -67,6 +67,18 @@
   return text == "alone" || text == "owners";
 }
 
+/// \returns true if \p text is a positive decimal number of at most six
+/// characters, or empty.
+inline bool isCpuShare(const std::string &text) {
+  constexpr size_t MaxCharacters = 6;
+  bool digits = text.find_first_not_of("0123456789.") == std::string::npos;
+  bool oneDot = text.find('.') == text.rfind('.');
+  return text.empty() || (digits && oneDot && text.size() <= MaxCharacters &&
+                          text.front() != '.' && text.back() != '.');
+}
+
+inline constexpr StringRule CpuShareRule = {&isCpuShare,
+                                            "a number of cores, such as 0.5"};
 inline constexpr StringRule EndpointRule = {&isEndpoint, "IP:PORT"};
 inline constexpr StringRule FleetModeRule = {&isFleetMode,
                                              "one of alone owners"};
@@ -141,6 +153,7 @@
     {"address", &FleetSettings::Address, false, 0, 0, &AddressRule},
     {"peer_port", &FleetSettings::PeerPort, false, 1, MaxPort},
     {"region", &FleetSettings::Region},
+    {"cpu_share", &FleetSettings::CpuShare, false, 0, 0, &CpuShareRule},
     {"retry_percent", &FleetSettings::RetryPercent, false, 0, 100},
     {"retry_slack", &FleetSettings::RetrySlack},
     {"retry_window_ms", &FleetSettings::RetryWindow, false, 1000},
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -190,6 +190,11 @@
   std::visit([&](const auto &it) { on(vm, it); }, effect);
 }
 
+void ConfigFleet::on(uint32_t vm, const SendPeers &effect) {
+  for (VmHandle to : effect.To)
+    on(vm, SendPeer{to, effect.Body});
+}
+
 void ConfigFleet::on(uint32_t vm, const SendPeer &effect) {
   ++Messages;
   bool lost = Random() % 100 < Init.LossPercent;
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -170,6 +170,7 @@
   void flush(uint32_t vm);
   void execute(uint32_t vm, const Effect &effect);
   void on(uint32_t vm, const SendPeer &effect);
+  void on(uint32_t vm, const SendPeers &effect);
   void on(uint32_t vm, const StoreRead &effect);
   void on(uint32_t vm, const StoreWrite &effect);
   void on(uint32_t vm, const StoreWatch &effect);
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -58,6 +58,12 @@
   std::string operator()(const SendPeer &it) const {
     return "send " + std::to_string(it.To.Value);
   }
+  std::string operator()(const SendPeers &it) const {
+    std::string line = "send";
+    for (VmHandle vm : it.To)
+      line += " " + std::to_string(vm.Value);
+    return line;
+  }
   std::string operator()(const MemberChanged &it) const {
     return "member " + std::to_string(it.Vm.Value) + " state " +
            std::to_string(static_cast<int>(it.State));
