Long requests eject no instance, and services without idempotent ones probe at once

Change: an overdue request weighs less while requests sent after it succeed, its end counts no second time, what was sent before an ejection says nothing afterwards and blocks no probe, and after a first ejection a service without idempotent requests probes with any.

--- a/src/dispatch_health.cpp
+++ b/src/dispatch_health.cpp
@@ -15,6 +15,8 @@
 /// since healthy instances return about one in a hundred requests.
 constexpr std::array<double, 8> FailureWeights = {0, 0.5, 1, 0.6, 0, 0, 0, 0};
 constexpr double EjectionThreshold = 0.95;
+/// Weight of an overdue request while requests sent after it succeed.
+constexpr double LongRequestWeight = 0.25;
 /// Factor applied to the failure weight after a success.
 constexpr double SuccessFactor = 0.5;
 constexpr double FailureHalfLifeSeconds = 2;
@@ -106,26 +108,35 @@
     return;
   }
   case AttemptOutcome::TimedOut:
-    markPathDown(vm, now);
-    [[fallthrough]];
   case AttemptOutcome::Error:
   case AttemptOutcome::Fault:
+    // Failures of requests sent before the ejection do not prolong or repeat
+    // it, however late they end.
+    if (now - took < EjectedAt)
+      return;
+    if (outcome == AttemptOutcome::TimedOut)
+      markPathDown(vm, now);
     addFailureWeight(FailureWeights[static_cast<size_t>(outcome)], now);
-    // Failures of requests sent before the ejection do not prolong it.
-    bool sentBeforeEjection = now - took < EjectedAt && now < EjectedUntil;
-    if (!sentBeforeEjection &&
-        (failureWeight(now) >= EjectionThreshold || !Recovered))
+    if (failureWeight(now) >= EjectionThreshold || !Recovered)
       eject(now);
     return;
   }
 }
 
-void OutlierDetector::noteOverdue(VmHandle vm, Instant now) {
-  markPathDown(vm, now);
-  addFailureWeight(
-      FailureWeights[static_cast<size_t>(AttemptOutcome::TimedOut)], now);
-  if (failureWeight(now) >= EjectionThreshold &&
-      state(now) == EjectionState::Healthy)
+void OutlierDetector::noteOverdue(VmHandle vm, Instant sentAt, Instant now) {
+  // While later requests succeed, the request may be long by itself.
+  if (LastSuccessSentAt >= sentAt) {
+    addFailureWeight(LongRequestWeight, now);
+  } else {
+    markPathDown(vm, now);
+    addFailureWeight(
+        FailureWeights[static_cast<size_t>(AttemptOutcome::TimedOut)], now);
+  }
+  bool failedProbe =
+      state(now) == EjectionState::Probing && sentAt >= EjectedAt;
+  bool failing = state(now) == EjectionState::Healthy &&
+                 failureWeight(now) >= EjectionThreshold;
+  if (failedProbe || failing)
     eject(now);
 }
 
@@ -135,14 +146,17 @@
   return Recovered ? EjectionState::Healthy : EjectionState::Probing;
 }
 
-bool OutlierDetector::allowsAnyProbe(Instant now) const {
-  return now >= EjectedUntil + IdempotentProbeTime;
+bool OutlierDetector::allowsAnyProbe(bool expectsIdempotent,
+                                     Instant now) const {
+  bool firstEjection = EjectionLevel <= 1;
+  return now >= EjectedUntil + IdempotentProbeTime ||
+         (firstEjection && !expectsIdempotent);
 }
 
 Instant OutlierDetector::nextChange(Instant now) const {
   if (now < EjectedUntil)
     return EjectedUntil;
-  if (!Recovered && !allowsAnyProbe(now))
+  if (!Recovered && now < EjectedUntil + IdempotentProbeTime)
     return EjectedUntil + IdempotentProbeTime;
   return NeverInstant;
 }
--- a/src/dispatch_health.h
+++ b/src/dispatch_health.h
@@ -33,7 +33,8 @@
                    Duration typical, Instant now);
 
   /// Records that a request of \p vm has had no response for unusually long.
-  void noteOverdue(VmHandle vm, Instant now);
+  /// \param sentAt when the request was sent.
+  void noteOverdue(VmHandle vm, Instant sentAt, Instant now);
 
   [[nodiscard]] EjectionState state(Instant now) const;
 
@@ -52,9 +53,14 @@
   /// \returns when the latest successful request was sent.
   [[nodiscard]] Instant lastSuccessSentAt() const { return LastSuccessSentAt; }
 
+  /// \returns when the instance was ejected last.
+  [[nodiscard]] Instant ejectedAt() const { return EjectedAt; }
+
   /// \returns true if any request may probe the instance, false while only
   /// idempotent ones may.
-  [[nodiscard]] bool allowsAnyProbe(Instant now) const;
+  /// \param expectsIdempotent idempotent requests arrive, which may probe
+  /// first.
+  [[nodiscard]] bool allowsAnyProbe(bool expectsIdempotent, Instant now) const;
 
   /// \returns when the state changes next without new outcomes, `NeverInstant`
   /// if it does not.
--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -28,6 +28,8 @@
 /// below one half: half of a service may fail at a time while the other half
 /// can carry its load.
 constexpr size_t MinInUsePercent = 40;
+/// Time after an idempotent request in which another one is expected.
+constexpr Duration IdempotentArrivalTime = std::chrono::seconds(1);
 
 /// Costs are relative to the load of a full instance, which is 1.
 constexpr double RemoteZoneCost = 0.25;
@@ -158,7 +160,11 @@
   case EjectionState::Healthy:
     return true;
   case EjectionState::Probing:
-    return instance.Grants.empty();
+    // Requests from before the ejection say nothing about a probe.
+    return std::none_of(instance.Grants.begin(), instance.Grants.end(),
+                        [&](const SlotGrant &it) {
+                          return it.GrantedAt >= instance.Health.ejectedAt();
+                        });
   case EjectionState::Ejected:
     break;
   }
@@ -173,8 +179,13 @@
     return false;
   if (input.Backlogged || instance.Health.state(now) != EjectionState::Probing)
     return true;
-  return !input.Retry &&
-         (input.Idempotent || instance.Health.allowsAnyProbe(now));
+  return !input.Retry && (input.Idempotent || instance.Health.allowsAnyProbe(
+                                                  expectsIdempotent(now), now));
+}
+
+/// \returns true if idempotent requests arrive, which probe ejected instances.
+bool DispatchPool::expectsIdempotent(Instant now) const {
+  return now - LastIdempotentAt < IdempotentArrivalTime;
 }
 
 bool DispatchPool::hasFreeSlot(Instant now) {
@@ -196,6 +207,8 @@
 }
 
 PoolInstance *DispatchPool::choose(const PlacementInput &input, Instant now) {
+  if (input.Idempotent)
+    LastIdempotentAt = now;
   collect(input, now);
   if (Candidates.empty())
     return nullptr;
@@ -311,12 +324,19 @@
   PoolInstance *instance = find(done.Instance);
   if (!instance)
     return false;
+  bool wasOverdue = false;
   size_t freed = std::erase_if(instance->Grants, [&](const SlotGrant &it) {
-    return it.Vm == vm && it.Request == done.Request &&
-           it.Ordinal == done.Ordinal;
+    bool released =
+        it.Vm == vm && it.Request == done.Request && it.Ordinal == done.Ordinal;
+    wasOverdue |= released && it.Overdue;
+    return released;
   });
-  instance->Health.noteOutcome(done.Outcome, vm, done.Elapsed, TypicalLatency,
-                               now);
+  // A failure by time was counted when the response became overdue.
+  bool counted = wasOverdue && (done.Outcome == AttemptOutcome::TimedOut ||
+                                done.Outcome == AttemptOutcome::Error);
+  if (!counted)
+    instance->Health.noteOutcome(done.Outcome, vm, done.Elapsed, TypicalLatency,
+                                 now);
   if (done.Outcome == AttemptOutcome::Ok) {
     Duration clipped =
         std::min(done.Elapsed, TypicalLatency * MaxLatencyFactor);
@@ -350,7 +370,7 @@
       if (it.Overdue || now - it.GrantedAt < overdue)
         continue;
       it.Overdue = true;
-      instance.Health.noteOverdue(it.Vm, now);
+      instance.Health.noteOverdue(it.Vm, it.GrantedAt, now);
     }
   }
 }
--- a/src/dispatch_pool.h
+++ b/src/dispatch_pool.h
@@ -160,6 +160,7 @@
                               const PlacementInput &input, Instant now) const;
   [[nodiscard]] bool isOpen(const PoolInstance &instance, Instant now) const;
   void updateInUseThreshold(Instant now);
+  [[nodiscard]] bool expectsIdempotent(Instant now) const;
   [[nodiscard]] double load(const PoolInstance &instance, Instant now) const;
   [[nodiscard]] double placementCost(const PoolInstance &instance,
                                      const PlacementInput &input,
@@ -178,6 +179,8 @@
   std::vector<double> EjectedWeights;
   double InUseThreshold = NoThreshold;
   Duration TypicalLatency = std::chrono::milliseconds(300);
+  /// When the latest idempotent request arrived.
+  Instant LastIdempotentAt{};
 };
 
 } // namespace guavasail
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -174,6 +174,91 @@
   EXPECT_EQ(detector.state(Start + milliseconds(2800)), EjectionState::Healthy);
 }
 
+/// Requests that run on the first of two instances from `Start` on.
+struct LongRequestFixture : DispatchFixture {
+  explicit LongRequestFixture(uint32_t count) : DispatchFixture(2, 8) {
+    while (Long.size() < count) {
+      PlacementReply reply = place(requestOf(++Number), Start);
+      if (reply.Instance == instanceKeyOf(0))
+        Long.push_back(reply);
+    }
+  }
+
+  /// \returns true if one of the next requests is placed on the instance.
+  bool isUsed(Instant now, bool idempotent = true) {
+    bool used = false;
+    for (int n = 0; n < 6; ++n) {
+      PlacementRequest request = requestOf(++Number);
+      request.Idempotent = idempotent;
+      PlacementReply reply = place(request, now);
+      used |= reply.Instance == instanceKeyOf(0);
+      Owner.onRelease(RequestingVm, releaseOf(reply, AttemptOutcome::Cancelled),
+                      now);
+    }
+    return used;
+  }
+
+  void end(const PlacementReply &grant, AttemptOutcome outcome, Instant now) {
+    Owner.onRelease(RequestingVm, releaseOf(grant, outcome, now - Start), now);
+  }
+
+  std::vector<PlacementReply> Long;
+  uint32_t Number = 0;
+};
+
+TEST(LongRequests, DoNotEjectAnInstanceThatAnswersOthers) {
+  LongRequestFixture fixture(4);
+  Instant now = Start + milliseconds(500);
+  // Requests that were sent later succeed.
+  PlacementRequest later = requestOf(900);
+  for (int n = 0; n < 8; ++n) {
+    later.Request = {900U + static_cast<uint32_t>(n), 1};
+    PlacementReply reply = fixture.place(later, now);
+    fixture.Owner.onRelease(RequestingVm, releaseOf(reply, AttemptOutcome::Ok),
+                            now + milliseconds(300));
+  }
+  now = Start + milliseconds(1600);
+  fixture.Owner.advance(now);
+  EXPECT_TRUE(fixture.isUsed(now));
+  now = Start + seconds(4);
+  for (const PlacementReply &it : fixture.Long)
+    fixture.end(it, AttemptOutcome::Error, now);
+  EXPECT_TRUE(fixture.isUsed(now));
+}
+
+TEST(LongRequests, EndAfterAnEjectionWithoutRepeatingIt) {
+  LongRequestFixture fixture(4);
+  Instant now = Start + milliseconds(100);
+  fixture.end(fixture.Long[0], AttemptOutcome::Fault, now);
+  EXPECT_FALSE(fixture.isUsed(now));
+  now = Start + milliseconds(2600);
+  fixture.end(fixture.Long[1], AttemptOutcome::TimedOut, now);
+  fixture.end(fixture.Long[2], AttemptOutcome::Error, now);
+  // The last one is still running.
+  EXPECT_TRUE(fixture.isUsed(now + milliseconds(100)));
+}
+
+TEST(InstanceFailure, ServiceWithoutIdempotentRequestsProbesWithOthers) {
+  DispatchFixture fixture(2, 8);
+  uint32_t number = 0;
+  auto next = [&](Instant now) {
+    PlacementRequest request = requestOf(++number);
+    request.Idempotent = false;
+    return fixture.place(request, now);
+  };
+  PlacementReply first = next(Start);
+  fixture.Owner.onRelease(RequestingVm, releaseOf(first, AttemptOutcome::Fault),
+                          Start);
+  auto isUsed = [&](Instant now) {
+    bool used = false;
+    for (int n = 0; n < 8; ++n)
+      used |= next(now).Instance == first.Instance;
+    return used;
+  };
+  EXPECT_FALSE(isUsed(Start + milliseconds(1900)));
+  EXPECT_TRUE(isUsed(Start + milliseconds(2100)));
+}
+
 TEST(Floor, MostInstancesStayInUseWhenAllFail) {
   DispatchFixture fixture(10, 1);
   std::vector<PlacementReply> grants;
