--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -19,7 +19,7 @@
 class PlacementFixture {
 public:
   explicit PlacementFixture(uint32_t instances,
-                            ReducerInit init = reducerInit())
+                            const ReducerInit &init = reducerInit())
       : TestedReducer(init) {
     ServiceSpec &service = Catalog.Services.emplace_back();
     service.Name = "s";
