Use no grant that was read after a pause

Cause: a VM that was paused for seconds read an owner's grant before the timers that had become due, and sent the request, also past its deadline; the owner may have given the slot to another request meanwhile.

Change: a grant that comes more than 1 s after the last question to the owner, or past the deadline, is returned unused, and the owner is asked anew or the request refused as not run.

--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -20,6 +20,9 @@
 constexpr Duration RenewInterval = std::chrono::milliseconds(400);
 /// Time for which an owner that did not respond is skipped.
 constexpr Duration SkipOwnerTime = std::chrono::seconds(2);
+/// Age of the latest question to the owner above which a grant is not used:
+/// this VM was paused, and the owner may have given the slot to another one.
+constexpr Duration GrantLifetime = std::chrono::seconds(1);
 /// Owners that are tried before this VM places the request itself.
 constexpr uint32_t MaxOwners = 2;
 /// Attempts of one request, including those that reached no instance.
@@ -156,6 +159,7 @@
             ? resolveOwner(placement.Service, request.UnresponsiveVm, step.Now)
             : self;
   request.AskedVm = owner;
+  request.LastAskedAt = step.Now;
   if (owner == self) {
     Dispatch.onPlacementRequest(self, Zone, placement, step.Now);
     return flushPlacement(step);
@@ -270,6 +274,12 @@
                                     const PlacementReply &reply, Step &step) {
   switch (reply.Verdict) {
   case PlacementVerdict::Granted: {
+    bool expired = from != Members.view().Self &&
+                   step.Now - request.LastAskedAt > GrantLifetime;
+    if (expired || step.Now >= request.Deadline) {
+      returnUnusedSlot(from, reply, step);
+      return requestPlacement(request, step);
+    }
     auto it = InstanceOfKey.find(reply.Instance);
     InstanceHandle instance =
         it == InstanceOfKey.end() ? InstanceHandle{} : it->second;
@@ -281,6 +291,7 @@
     if (!request.Queued)
       reportDecision(DecisionKind::Queued, request, step);
     request.Queued = true;
+    request.LastAskedAt = step.Now;
     if (from != Members.view().Self)
       Timers.arm({step.Now + RenewInterval,
                   {request.Self, request.Attempts + 1},
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -69,6 +69,8 @@
   bool PreviousMayHaveRun = false;
   /// Attempts that may have reached an instance.
   uint32_t PossibleRuns = 0;
+  /// When the owner was asked last, or confirmed that it queues the request.
+  Instant LastAskedAt{};
   Instant AskedAt;
   LoadReport Load;
   AttemptOutcome Outcome = AttemptOutcome::Ok;
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -76,6 +76,17 @@
     Now = end;
   }
 
+  /// Lets time pass without an event.
+  void pause(Duration time) { Now += time; }
+
+  /// \returns the number of effects of one kind.
+  template <typename Kind> size_t count() const {
+    return static_cast<size_t>(
+        std::count_if(Effects.begin(), Effects.end(), [](const Effect &it) {
+          return std::holds_alternative<Kind>(it);
+        }));
+  }
+
   void arrive(uint32_t number, std::string_view path) {
     RequestArrived event;
     event.Request = {number, 1};
@@ -101,6 +112,16 @@
     return std::nullopt;
   }
 
+  /// \returns true if a message to another daemon fulfils \p condition.
+  template <typename Message, typename Condition>
+  bool anyPeerMessage(Condition condition) const {
+    return std::any_of(Effects.begin(), Effects.end(), [&](const Effect &it) {
+      const auto *sent = std::get_if<SendPeer>(&it);
+      const auto *message = sent ? std::get_if<Message>(&sent->Body) : nullptr;
+      return message && condition(*message);
+    });
+  }
+
   /// \returns the newest message of one type to another daemon.
   template <typename Message>
   std::pair<VmHandle, Message> lastPeerMessage() const {
@@ -232,23 +253,36 @@
   return init;
 }
 
+/// \returns a fleet in which another VM most likely owns the service.
+std::span<const VmSpec> vmsWithPeers() {
+  static const std::vector<VmSpec> Vms = [] {
+    std::vector<VmSpec> vms = {initWithPeer().Self};
+    for (int n = 0; n < 40; ++n)
+      vms.push_back(
+          {"peer" + std::to_string(n), "10.0.0.2", 7000, "z", "r", false, 1});
+    return vms;
+  }();
+  return Vms;
+}
+
+/// \returns the grant of the only instance.
+PlacementReply grantOf(const PlacementRequest &request) {
+  PlacementReply reply;
+  reply.Request = request.Request;
+  reply.Ordinal = request.Ordinal;
+  reply.Verdict = PlacementVerdict::Granted;
+  reply.Instance = rendezvousKey("s/i0", 0);
+  return reply;
+}
+
 TEST_P(GrantAfterNotice, KeepsWhatTheInstanceSaid) {
   const GrantAfterNoticeCase &row = GetParam();
   PlacementFixture fixture(1, initWithPeer());
-  std::vector<VmSpec> vms = {{"vm", "10.0.0.1", 7000, "z", "r", false, 1}};
-  for (int n = 0; n < 40; ++n)
-    vms.push_back(
-        {"peer" + std::to_string(n), "10.0.0.2", 7000, "z", "r", false, 1});
-  fixture.post(VmListRead{vms});
+  fixture.post(VmListRead{vmsWithPeers()});
   auto grant = [&](uint32_t number) -> std::optional<StartAttempt> {
     fixture.arrive(number, "/unsafe/x");
     auto [owner, request] = fixture.lastPeerMessage<PlacementRequest>();
-    PlacementReply reply;
-    reply.Request = request.Request;
-    reply.Ordinal = request.Ordinal;
-    reply.Verdict = PlacementVerdict::Granted;
-    reply.Instance = rendezvousKey("s/i0", 0);
-    fixture.post(PeerMessageReceived{owner, reply});
+    fixture.post(PeerMessageReceived{owner, grantOf(request)});
     return fixture.last<StartAttempt>(number);
   };
   auto first = grant(1);
@@ -281,6 +315,68 @@
                            return std::string(it.param.Name);
                          });
 
+/// Time for which a VM is paused between its question to the owner and the
+/// grant, and what it does with the grant.
+struct PausedCase {
+  std::string_view Name;
+  milliseconds Pause;
+  bool Sent;
+  bool Refused;
+};
+
+const PausedCase PausedCases[] = {
+    {"Short", milliseconds(300), true, false},
+    {"Seconds", seconds(3), false, false},
+    {"BeyondTheDeadline", seconds(5), false, true},
+};
+
+std::ostream &operator<<(std::ostream &out, const PausedCase &row) {
+  return out << row.Name;
+}
+
+class GrantAfterPause : public testing::TestWithParam<PausedCase> {};
+
+TEST_P(GrantAfterPause, IsUsedWhileItHolds) {
+  const PausedCase &row = GetParam();
+  PlacementFixture fixture(1, initWithPeer());
+  fixture.post(VmListRead{vmsWithPeers()});
+  fixture.arrive(1, "/unsafe/x");
+  auto [owner, request] = fixture.lastPeerMessage<PlacementRequest>();
+  // The reply is read before the timers that became due meanwhile.
+  fixture.pause(row.Pause);
+  fixture.post(PeerMessageReceived{owner, grantOf(request)});
+  EXPECT_EQ(fixture.last<StartAttempt>(1).has_value(), row.Sent);
+  EXPECT_EQ(fixture.last<RefuseRequest>(1).has_value(), row.Refused);
+  if (row.Sent)
+    return;
+  EXPECT_TRUE(
+      fixture.anyPeerMessage<PlacementRelease>([](const PlacementRelease &it) {
+        return it.Outcome == AttemptOutcome::Unused;
+      }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, GrantAfterPause, testing::ValuesIn(PausedCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+TEST(HandOver, OnlyOneOfTwoGrantsIsUsed) {
+  PlacementFixture fixture(1, initWithPeer());
+  fixture.post(VmListRead{vmsWithPeers()});
+  fixture.arrive(1, "/unsafe/x");
+  auto [first, request] = fixture.lastPeerMessage<PlacementRequest>();
+  // The owner is silent, so the next one is asked; then both grant.
+  fixture.advance(milliseconds(350));
+  auto [second, again] = fixture.lastPeerMessage<PlacementRequest>();
+  ASSERT_NE(second, first);
+  fixture.post(PeerMessageReceived{second, grantOf(again)});
+  fixture.post(PeerMessageReceived{first, grantOf(request)});
+  EXPECT_EQ(fixture.count<StartAttempt>(), 1U);
+  auto [to, release] = fixture.lastPeerMessage<PlacementRelease>();
+  EXPECT_EQ(to, first);
+  EXPECT_EQ(release.Outcome, AttemptOutcome::Unused);
+}
+
 TEST(AttemptEnd, ReplacedAttemptDoesNotFinishRequest) {
   PlacementFixture fixture(2);
   fixture.arrive(1, "/safe/x");
