--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -359,6 +359,7 @@
                  step.Now - request->AttemptStarted);
   request->Hedging = true;
   request->PreviousMayHaveRun = true;
+  request->LastAskedAt = step.Now;
   PlacementRequest placement = makePlacementRequest(*request, step.Now);
   VmHandle self = Members.view().Self;
   request->AskedVm = resolveOwner(placement.Service, {}, step.Now);
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -360,6 +360,23 @@
                            return std::string(it.param.Name);
                          });
 
+TEST(Overdue, AttemptMovesWithTheGrantOfAnotherVm) {
+  PlacementFixture fixture(2, initWithPeer());
+  fixture.post(VmListRead{vmsWithPeers()});
+  fixture.arrive(1, "/safe/x");
+  auto [owner, request] = fixture.lastPeerMessage<PlacementRequest>();
+  PlacementReply grant = grantOf(request);
+  grant.HedgeDelay = milliseconds(1500);
+  fixture.post(PeerMessageReceived{owner, grant});
+  fixture.advance(milliseconds(1600));
+  auto [hedgeOwner, hedge] = fixture.lastPeerMessage<PlacementRequest>();
+  ASSERT_EQ(hedge.Ordinal, 2u);
+  grant = grantOf(hedge);
+  grant.Instance = rendezvousKey("s/i1", 0);
+  fixture.post(PeerMessageReceived{hedgeOwner, grant});
+  EXPECT_EQ(fixture.last<StartAttempt>(1)->Attempt.Ordinal, 2u);
+}
+
 TEST(HandOver, OnlyOneOfTwoGrantsIsUsed) {
   PlacementFixture fixture(1, initWithPeer());
   fixture.post(VmListRead{vmsWithPeers()});
