Show the rule for probes of services without idempotent requests

Cause: the test of that rule also passed without it, since waiting requests open an instance to any probe.

Change: no request waits in the test.

--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -249,14 +249,15 @@
   PlacementReply first = next(Start);
   fixture.Owner.onRelease(RequestingVm, releaseOf(first, AttemptOutcome::Fault),
                           Start);
-  auto isUsed = [&](Instant now) {
+  auto isUsed = [&](Instant now, int requests) {
     bool used = false;
-    for (int n = 0; n < 8; ++n)
+    for (int n = 0; n < requests; ++n)
       used |= next(now).Instance == first.Instance;
     return used;
   };
-  EXPECT_FALSE(isUsed(Start + milliseconds(1900)));
-  EXPECT_TRUE(isUsed(Start + milliseconds(2100)));
+  EXPECT_FALSE(isUsed(Start + milliseconds(1900), 1));
+  // They fit the other instance, so none waits, which would open any probe.
+  EXPECT_TRUE(isUsed(Start + milliseconds(2100), 7));
 }
 
 TEST(Floor, MostInstancesStayInUseWhenAllFail) {
