Smoke and demo read the daemons' logs where they are written

Cause: daemons log to standard output; both scripts kept standard error. smoke.sh saw no member and failed, the demo's check for keys in logs read empty files. Change: both outputs go to the log file; the demo checks that each daemon wrote its log. Ruled out: a fault of the daemons, whose lines are the same.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,7 +63,7 @@
 for n in $Wind $Notices $Archive; do await "$n"; done
 for n in $Daemons; do
   settings "$n" >"$work/vm-$n.toml"
-  build/guavasail serve --settings "$work/vm-$n.toml" 2>"$work/vm-$n.log" &
+  build/guavasail serve --settings "$work/vm-$n.toml" >"$work/vm-$n.log" 2>&1 &
   pids+=($!)
   daemonPid[n]=$!
 done
@@ -161,5 +161,8 @@
 check "each archive fetch is whole or visibly broken" "$(($(figure archive wrong) + $(unanswered archive 90)))"
 check "no backend server saw a key" "$forbidden"
 check "the drain cut no request" "$(($(figure drain whole) == 1 ? drained : 1))"
+unlogged=0
+for n in $Daemons; do grep -q serving "$work/vm-$n.log" || unlogged=$((unlogged + 1)); done
+check "each daemon writes its log" "$unlogged"
 check "no log holds a key" "$(cat "$work"/vm-*.log | grep -c -- "$Key" || true)"
 exit $broken
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -42,7 +42,7 @@
 log_format = "text"
 $vms
 TOML
-  "$program" serve --settings "$dir/$1.toml" 2>"$dir/$1.log" &
+  "$program" serve --settings "$dir/$1.toml" >"$dir/$1.log" 2>&1 &
   pids[$1]=$!
 }
 
