Keep requests with large bodies in the zone

Change: the kind Upload: at most once, and placed like a download. Test: KindZone fails for Upload before the change.

--- a/include/guavasail/catalog.h
+++ b/include/guavasail/catalog.h
@@ -49,6 +49,8 @@
   AtMostOnce,
   /// Idempotent, with a large response.
   Download,
+  /// At most once, with a large body.
+  Upload,
 };
 
 /// One destination of a route's weighted traffic split.
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -208,7 +208,7 @@
       &ServiceSpec::Name, &ServiceSpec::FloorPercent, &ServiceSpec::Instances};
 };
 
-template <> inline constexpr uint64_t PeerEnumCount<RequestKind> = 4;
+template <> inline constexpr uint64_t PeerEnumCount<RequestKind> = 5;
 
 template <> struct PeerFields<SplitSpec> {
   static constexpr std::tuple Members{&SplitSpec::Service, &SplitSpec::Weight};
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -50,8 +50,9 @@
 Repeatability repeatabilityOf(const RouteEntry &route, Repeatability method) {
   if (route.Kind == RequestKind::ByMethod)
     return method;
-  return route.Kind == RequestKind::AtMostOnce ? Repeatability::AtMostOnce
-                                               : Repeatability::Idempotent;
+  bool atMostOnce = route.Kind == RequestKind::AtMostOnce ||
+                    route.Kind == RequestKind::Upload;
+  return atMostOnce ? Repeatability::AtMostOnce : Repeatability::Idempotent;
 }
 
 } // namespace
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -46,6 +46,15 @@
     post(CatalogAccepted{&Catalog});
   }
 
+  /// Applies a catalog in which the first instance is in the VM's zone but
+  /// cold, and the first route has \p kind.
+  void useColdLocalInstance(RequestKind kind) {
+    Catalog.Services[0].Instances[0].Zone = "z";
+    Catalog.Services[0].Instances[0].Cold = true;
+    Catalog.Routes[0].Kind = kind;
+    post(CatalogAccepted{&Catalog});
+  }
+
   /// Applies a catalog in which the first instance was restarted.
   void restartInstance() {
     Catalog.Services[0].Instances[0].Started = 9;
@@ -153,6 +162,41 @@
   std::vector<Effect> Effects;
 };
 
+/// Whether requests of a kind stay in their zone at the cost of a slower
+/// instance, since their bodies or responses are large.
+struct KindZoneCase {
+  std::string_view Name;
+  RequestKind Kind;
+  bool StaysInZone;
+};
+
+const KindZoneCase KindZones[] = {
+    {"Download", RequestKind::Download, true},
+    {"Upload", RequestKind::Upload, true},
+    {"Idempotent", RequestKind::Idempotent, false},
+    {"AtMostOnce", RequestKind::AtMostOnce, false},
+};
+
+std::ostream &operator<<(std::ostream &out, const KindZoneCase &row) {
+  return out << row.Name;
+}
+
+class KindZone : public testing::TestWithParam<KindZoneCase> {};
+
+TEST_P(KindZone, DecidesPlacement) {
+  PlacementFixture fixture(2);
+  fixture.useColdLocalInstance(GetParam().Kind);
+  fixture.arrive(1, "/safe/x");
+  InstanceHandle local{0};
+  EXPECT_EQ(fixture.last<StartAttempt>(1)->Instance == local,
+            GetParam().StaysInZone);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, KindZone, testing::ValuesIn(KindZones),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 /// End of the first attempt, and whether another attempt follows.
 struct AttemptEndCase {
   std::string_view Name;
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -167,7 +167,7 @@
     {"Upload",
      R"({"name":"r","kind":"upload","match":{"prefix":"/a/"},)"
      R"("action":{"service":"s","timeout_ms":1,"attempts":2}})",
-     GoodTenant, FormatFault::None, "", 1, 1, "s", RequestKind::AtMostOnce},
+     GoodTenant, FormatFault::None, "", 1, 1, "s", RequestKind::Upload},
     {"UnknownKind",
      R"({"name":"r","kind":"odd","match":{"prefix":"/a/"},)"
      R"("action":{"service":"s","timeout_ms":1,"attempts":2}})",
