Learn how long instances fail, and spread requests while many do

An instance that hangs gets requests until two are overdue. Change: EjectionKind::Learned prolongs an ejection by the share of probes that failed lately, unless many requests fail or half of the slots are busy; PlacementKind::Spread prefers instances without a recent request while many fail; requests that are late and not overtaken add to an instance's cost; an overdue request counts 0.2 while later ones succeed, so that four long ones eject no instance that answers others.

--- a/include/guavasail/dispatch.h
+++ b/include/guavasail/dispatch.h
@@ -23,6 +23,18 @@
   /// The instance with the lowest cost, computed from its load, its latency,
   /// its recent failures and whether it is in the requesting VM's zone.
   Weighed,
+  /// As `Weighed`; while many requests of the service fail, instances without
+  /// a recent request cost less, so that no healthy one is left out.
+  Spread,
+};
+
+/// How long ejected instances get no request.
+enum class EjectionKind : uint8_t {
+  /// A fixed time; the baseline for comparisons.
+  Fixed,
+  /// Longer if probes after the fixed time failed lately, unless many requests
+  /// of the service fail.
+  Learned,
 };
 
 /// Queueing disciplines for waiting requests.
@@ -36,7 +48,8 @@
 
 /// Options of one VM's dispatcher.
 struct DispatchInit {
-  PlacementKind Placement = PlacementKind::Weighed;
+  PlacementKind Placement = PlacementKind::Spread;
+  EjectionKind Ejection = EjectionKind::Learned;
   QueueKind Queue = QueueKind::Useful;
   /// Retries allowed for a service within `RetryWindow`: a percentage of its
   /// requests plus a fixed number.
@@ -101,7 +114,7 @@
   /// An earlier attempt may have reached an instance.
   bool Retry = false;
   bool Idempotent = false;
-  /// The response is expected to be large.
+  /// The body or the response is expected to be large.
   bool Large = false;
   /// Time until the deadline, and until the latency objective is missed.
   Duration Remaining{};
--- a/src/dispatch_health.cpp
+++ b/src/dispatch_health.cpp
@@ -16,7 +16,7 @@
 constexpr std::array<double, 8> FailureWeights = {0, 0.5, 1, 0.6, 0, 0, 0, 0};
 constexpr double EjectionThreshold = 0.95;
 /// Weight of an overdue request while requests sent after it succeed.
-constexpr double LongRequestWeight = 0.25;
+constexpr double LongRequestWeight = 0.2;
 /// Factor applied to the failure weight after a success.
 constexpr double SuccessFactor = 0.5;
 constexpr double FailureHalfLifeSeconds = 2;
@@ -67,7 +67,8 @@
 
 void OutlierDetector::eject(Instant now) {
   EjectedAt = now;
-  EjectedUntil = now + BaseEjectionTime + EjectionTimeStep * EjectionLevel;
+  BriefUntil = now + BaseEjectionTime + EjectionTimeStep * EjectionLevel;
+  EjectedUntil = BriefUntil;
   EjectionLevel = std::min(EjectionLevel + 1, MaxEjectionLevel);
   Recovered = false;
 }
--- a/src/dispatch_health.h
+++ b/src/dispatch_health.h
@@ -8,6 +8,7 @@
 #include "guavasail/dispatch.h"
 #include "guavasail/handle.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -53,6 +54,17 @@
   /// \returns when the latest successful request was sent.
   [[nodiscard]] Instant lastSuccessSentAt() const { return LastSuccessSentAt; }
 
+  /// Prolongs the current ejection.
+  void hold(Duration time) { EjectedUntil = BriefUntil + time; }
+
+  /// Ends what `hold` added to the current ejection.
+  void endHold() { EjectedUntil = std::min(EjectedUntil, BriefUntil); }
+
+  /// \returns true if a request sent at \p sentAt probes an ejected instance.
+  [[nodiscard]] bool isProbe(Instant sentAt) const {
+    return !Recovered && sentAt >= EjectedAt;
+  }
+
   /// \returns when the instance was ejected last.
   [[nodiscard]] Instant ejectedAt() const { return EjectedAt; }
 
@@ -86,6 +98,8 @@
   Instant LastSuccessSentAt{};
   Instant EjectedAt{};
   Instant EjectedUntil{};
+  /// End of the current ejection without what `hold` adds.
+  Instant BriefUntil{};
   std::vector<Path> Paths;
 };
 
--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -4,6 +4,7 @@
 #include "rendezvous.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <functional>
 
@@ -44,10 +45,42 @@
 constexpr double RetryStalenessCost = 0.6;
 constexpr Duration MaxStalenessTime = std::chrono::seconds(2);
 constexpr double AvoidCost = 3;
+/// Cost of each request without a response after this multiple of the typical
+/// latency: the instance may hang.
+constexpr double LateFactor = 1.5;
+constexpr double LateCost = 0.3;
+constexpr double MaxLateCost = 0.6;
 constexpr double EjectedCost = 2;
 /// Using the last slot of an instance slows down its other requests.
 constexpr double NearlyFullCost = 0.25;
 constexpr double NearlyFullLoad = 0.8;
+/// Below the cost of any instance.
+constexpr double MinCost = -10;
+
+/// Failures in the history by `AttemptOutcome`.
+constexpr std::array<double, 8> HistoryFailures = {0, 1, 1, 1, 0, 0, 0, 0};
+/// Share of failed attempts of a service above which many fail, and the least
+/// number of attempts to judge from.
+constexpr double ManyFailShare = 0.06;
+constexpr double MinJudgedAttempts = 4;
+/// Time for which a service counts as failing after many requests failed.
+constexpr Duration ManyFailTime = std::chrono::seconds(2);
+/// While many requests fail, an instance that got none for this time costs less
+/// by `UnusedBonus`, so that no sound instance is left out.
+constexpr Duration UnusedTime = std::chrono::seconds(1);
+constexpr double UnusedBonus = 1;
+
+/// An ejection lasts longer by at most this, in proportion to the share of
+/// failed probes.
+constexpr Duration MaxEjectionHold = std::chrono::seconds(8);
+/// Shares of the slots in use above which no ejection is prolonged, and
+/// prolonged ones end.
+constexpr double MaxHoldBusyShare = 0.55;
+constexpr double EndHoldBusyShare = 0.65;
+/// Weights of the latest probe in that share. A failed probe costs a request, a
+/// late one only capacity.
+constexpr double FailedProbeSmoothing = 0.5;
+constexpr double PassedProbeSmoothing = 0.06;
 
 /// Bounds of the hedge delay, and the time that a hedged attempt needs, as
 /// multiples of the typical latency.
@@ -72,6 +105,7 @@
     {PlacementKind::LeastLoaded, "least-loaded",
      &DispatchPool::chooseLeastLoaded},
     {PlacementKind::Weighed, "weighed", &DispatchPool::chooseWeighed},
+    {PlacementKind::Spread, "spread", &DispatchPool::chooseSpread},
 };
 
 void DispatchPool::acceptCatalog(const CatalogIndex &catalog,
@@ -210,6 +244,10 @@
   if (input.Idempotent)
     LastIdempotentAt = now;
   collect(input, now);
+  if (Candidates.empty()) {
+    endHolds();
+    collect(input, now);
+  }
   if (Candidates.empty())
     return nullptr;
   const Strategy &strategy = Strategies[static_cast<size_t>(Placement)];
@@ -228,6 +266,18 @@
                            });
 }
 
+/// \returns the cost of requests without a response that no later request has
+/// overtaken; others may be long by themselves.
+double DispatchPool::lateCost(const PoolInstance &instance, Instant now) const {
+  Duration late = scaled(TypicalLatency, LateFactor);
+  double sum = 0;
+  for (const SlotGrant &it : instance.Grants)
+    if (now - it.GrantedAt > late &&
+        it.GrantedAt > instance.Health.lastSuccessSentAt())
+      sum += LateCost;
+  return std::min(sum, MaxLateCost);
+}
+
 double DispatchPool::placementCost(const PoolInstance &instance,
                                    const PlacementInput &input,
                                    Instant now) const {
@@ -247,13 +297,69 @@
   sum += staleness(now - instance.Health.lastSuccessSentAt()) *
          (input.Retry ? RetryStalenessCost : StalenessCost);
   sum += instance.Key == input.Avoid ? AvoidCost : 0;
+  sum += lateCost(instance, now);
   if (instance.Health.state(now) == EjectionState::Ejected)
     sum += EjectedCost;
   return sum;
 }
 
+/// \returns the discount of an instance that has not been used lately while
+/// many requests of the service fail.
+double DispatchPool::unusedBonus(const PoolInstance &instance,
+                                 Instant now) const {
+  if (now >= ManyFailUntil)
+    return 0;
+  double unused = inSeconds(now - instance.LastGrantAt);
+  return UnusedBonus * std::min(1.0, unused / inSeconds(UnusedTime));
+}
+
+void DispatchPool::noteHistory(double attempts, double failures, Instant now) {
+  History.note(attempts, failures, now);
+  if (History.attempts(now) < MinJudgedAttempts ||
+      History.share() <= ManyFailShare)
+    return;
+  bool began = now >= ManyFailUntil;
+  ManyFailUntil = now + ManyFailTime;
+  if (began)
+    endHolds();
+}
+
+/// Returns instances to use whose ejection was prolonged.
+void DispatchPool::endHolds() {
+  for (PoolInstance &it : Instances)
+    it.Health.endHold();
+}
+
+void DispatchPool::noteProbe(bool failed) {
+  double smoothing = failed ? FailedProbeSmoothing : PassedProbeSmoothing;
+  ProbeFailureShare += smoothing * ((failed ? 1.0 : 0.0) - ProbeFailureShare);
+}
+
+/// Prolongs an ejection that has just begun if instances of the service tend to
+/// fail for long.
+void DispatchPool::holdEjected(PoolInstance &instance, Instant now) const {
+  if (Ejection == EjectionKind::Learned && now >= ManyFailUntil &&
+      BusyShare < MaxHoldBusyShare && instance.Health.ejectedAt() == now)
+    instance.Health.hold(scaled(MaxEjectionHold, ProbeFailureShare));
+}
+
 PoolInstance *DispatchPool::chooseWeighed(const PlacementInput &input,
                                           Instant now) {
+  return chooseCheapest(input, now, [&](const PoolInstance &it) {
+    return placementCost(it, input, now);
+  });
+}
+
+PoolInstance *DispatchPool::chooseSpread(const PlacementInput &input,
+                                         Instant now) {
+  return chooseCheapest(input, now, [&](const PoolInstance &it) {
+    return placementCost(it, input, now) - unusedBonus(it, now);
+  });
+}
+
+template <typename Cost>
+PoolInstance *DispatchPool::chooseCheapest(const PlacementInput &input,
+                                           Instant now, const Cost &cost) {
   // A random start breaks ties.
   size_t start = Random() % Candidates.size();
   PoolInstance *best = nullptr;
@@ -263,7 +369,7 @@
     // Probes come first, or the instance would never be used again.
     bool probe = it->Health.state(now) == EjectionState::Probing &&
                  input.Idempotent && !input.Retry;
-    double candidateCost = probe ? 0 : placementCost(*it, input, now);
+    double candidateCost = probe ? MinCost : cost(*it);
     if (best && candidateCost >= lowestCost)
       continue;
     best = it;
@@ -274,6 +380,7 @@
 
 void DispatchPool::occupySlot(PoolInstance &instance, const SlotGrant &grant) {
   instance.Grants.push_back(grant);
+  instance.LastGrantAt = grant.GrantedAt;
   if (!grant.Vm.valid())
     return;
   if (grant.Vm.Value >= instance.UsedAt.size())
@@ -319,6 +426,18 @@
   instance.Backoffs.push_back({vm, until});
 }
 
+/// Passes the outcome of an attempt to outlier detection.
+void DispatchPool::noteOutcome(PoolInstance &instance, VmHandle vm,
+                               const PlacementRelease &done, Instant now) {
+  bool probe = instance.Health.isProbe(now - done.Elapsed);
+  instance.Health.noteOutcome(done.Outcome, vm, done.Elapsed, TypicalLatency,
+                              now);
+  double failure = HistoryFailures[static_cast<size_t>(done.Outcome)];
+  if (probe && (failure > 0 || done.Outcome == AttemptOutcome::Ok))
+    noteProbe(failure > 0);
+  holdEjected(instance, now);
+}
+
 bool DispatchPool::release(VmHandle vm, const PlacementRelease &done,
                            Instant now) {
   PoolInstance *instance = find(done.Instance);
@@ -335,8 +454,13 @@
   bool counted = wasOverdue && (done.Outcome == AttemptOutcome::TimedOut ||
                                 done.Outcome == AttemptOutcome::Error);
   if (!counted)
-    instance->Health.noteOutcome(done.Outcome, vm, done.Elapsed, TypicalLatency,
-                                 now);
+    noteOutcome(*instance, vm, done, now);
+  bool ran = done.Outcome != AttemptOutcome::Unused &&
+             done.Outcome != AttemptOutcome::Cancelled;
+  if (ran)
+    noteHistory(
+        1, wasOverdue ? 0 : HistoryFailures[static_cast<size_t>(done.Outcome)],
+        now);
   if (done.Outcome == AttemptOutcome::Ok) {
     Duration clipped =
         std::min(done.Elapsed, TypicalLatency * MaxLatencyFactor);
@@ -361,6 +485,7 @@
 }
 
 void DispatchPool::advance(Instant now) {
+  updateBusyShare(now);
   Duration overdue = std::max(TypicalLatency * OverdueFactor, MinOverdueTime);
   for (PoolInstance &instance : Instances) {
     std::erase_if(instance.Grants, [&](const SlotGrant &it) {
@@ -370,11 +495,26 @@
       if (it.Overdue || now - it.GrantedAt < overdue)
         continue;
       it.Overdue = true;
+      bool probe = instance.Health.isProbe(it.GrantedAt);
       instance.Health.noteOverdue(it.Vm, it.GrantedAt, now);
+      if (probe)
+        noteProbe(true);
+      noteHistory(0, 1, now);
+      holdEjected(instance, now);
     }
   }
 }
 
+void DispatchPool::updateBusyShare(Instant now) {
+  size_t used = 0;
+  for (const PoolInstance &it : Instances)
+    if (it.isInService() && it.Health.state(now) == EjectionState::Healthy)
+      used += it.Grants.size();
+  BusyShare = static_cast<double>(used) / capacity(now);
+  if (BusyShare >= EndHoldBusyShare)
+    endHolds();
+}
+
 uint32_t DispatchPool::capacity(Instant now) const {
   uint32_t slots = 0;
   for (const PoolInstance &it : Instances)
--- a/src/dispatch_pool.h
+++ b/src/dispatch_pool.h
@@ -5,6 +5,7 @@
 
 #include "catalog_index.h"
 #include "dispatch_health.h"
+#include "dispatch_history.h"
 #include "guavasail/dispatch.h"
 
 #include <cstdint>
@@ -35,6 +36,9 @@
   Instant Until{};
 };
 
+/// Half-life of the attempts that tell whether a service fails at present.
+inline constexpr Duration HistoryHalfLife = std::chrono::seconds(1);
+
 /// An instance with its slots and health.
 struct PoolInstance {
   InstanceHandle Handle;
@@ -50,6 +54,7 @@
   bool Cold = false;
   OutlierDetector Health;
   std::vector<SlotGrant> Grants;
+  Instant LastGrantAt{};
   /// Requests that the instance reported as running or waiting, and when.
   uint32_t ReportedLoad = 0;
   Instant ReportedAt{};
@@ -87,8 +92,8 @@
 /// Chooses instances and tracks their slots.
 class DispatchPool {
 public:
-  DispatchPool(PlacementKind placement, uint64_t seed)
-      : Placement(placement), Random(seed) {}
+  DispatchPool(PlacementKind placement, EjectionKind ejection, uint64_t seed)
+      : Placement(placement), Ejection(ejection), Random(seed) {}
 
   /// Updates the instances of \p service from \p catalog.
   void acceptCatalog(const CatalogIndex &catalog, ServiceHandle service);
@@ -153,6 +158,10 @@
   PoolInstance *chooseRandom(const PlacementInput &input, Instant now);
   PoolInstance *chooseLeastLoaded(const PlacementInput &input, Instant now);
   PoolInstance *chooseWeighed(const PlacementInput &input, Instant now);
+  PoolInstance *chooseSpread(const PlacementInput &input, Instant now);
+  template <typename Cost>
+  PoolInstance *chooseCheapest(const PlacementInput &input, Instant now,
+                               const Cost &cost);
   void collect(const PlacementInput &input, Instant now);
   static void noteNotice(PoolInstance &instance, VmHandle vm,
                          const PlacementRelease &done, Instant now);
@@ -165,9 +174,21 @@
   [[nodiscard]] double placementCost(const PoolInstance &instance,
                                      const PlacementInput &input,
                                      Instant now) const;
+  [[nodiscard]] double lateCost(const PoolInstance &instance,
+                                Instant now) const;
+  [[nodiscard]] double unusedBonus(const PoolInstance &instance,
+                                   Instant now) const;
+  void noteHistory(double attempts, double failures, Instant now);
+  void noteProbe(bool failed);
+  void noteOutcome(PoolInstance &instance, VmHandle vm,
+                   const PlacementRelease &done, Instant now);
+  void holdEjected(PoolInstance &instance, Instant now) const;
+  void endHolds();
+  void updateBusyShare(Instant now);
   [[nodiscard]] static uint32_t freeSlots(const PoolInstance &instance);
 
   PlacementKind Placement;
+  EjectionKind Ejection;
   std::mt19937_64 Random;
   std::vector<PoolInstance> Instances;
   /// Positions in `Instances` by key.
@@ -179,6 +200,13 @@
   std::vector<double> EjectedWeights;
   double InUseThreshold = NoThreshold;
   Duration TypicalLatency = std::chrono::milliseconds(300);
+  FailureHistory History{HistoryHalfLife};
+  /// Moving average of the share of failed probes.
+  double ProbeFailureShare = 0;
+  /// Share of the slots of healthy instances that are in use.
+  double BusyShare = 0;
+  /// Many requests of the service fail until then.
+  Instant ManyFailUntil{};
   /// When the latest idempotent request arrived.
   Instant LastIdempotentAt{};
 };
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -123,8 +123,8 @@
     placement.Avoid = rendezvousKey(Catalog.name(request.Instance), 0);
   placement.Retry = request.PreviousMayHaveRun;
   placement.Idempotent = request.Repeat == Repeatability::Idempotent;
-  placement.Large = route.Kind == RequestKind::Download ||
-                    route.Kind == RequestKind::Upload;
+  placement.Large =
+      route.Kind == RequestKind::Download || route.Kind == RequestKind::Upload;
   placement.Remaining = request.Deadline - now;
   Duration objective =
       route.Objective > Duration::zero() ? route.Objective : route.Timeout;
