--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -409,17 +409,6 @@
   return shortest;
 }
 
-/// Records that the instance refused a request. One that reports free slots may
-/// refuse single requests at random, so it stays in use until it refuses the
-/// next one too.
-void DispatchPool::noteShed(PoolInstance &instance,
-                            const PlacementRelease &done, Instant now) {
-  ++instance.ConsecutiveSheds;
-  bool hasRoom = done.LoadKnown && done.Running + done.Waiting < instance.Slots;
-  if (!hasRoom || instance.ConsecutiveSheds > 1)
-    instance.FullUntil = now + FullBackoffTime;
-}
-
 /// Records what the instance told \p vm about further requests.
 void DispatchPool::noteNotice(PoolInstance &instance, VmHandle vm,
                               const PlacementRelease &done, Instant now) {
@@ -480,9 +469,7 @@
                                   scaled(clipped, LatencySmoothing));
   }
   if (done.Outcome == AttemptOutcome::Shed)
-    noteShed(*instance, done, now);
-  else if (done.Outcome == AttemptOutcome::Ok)
-    instance->ConsecutiveSheds = 0;
+    instance->FullUntil = now + FullBackoffTime;
   noteNotice(*instance, vm, done, now);
   if (done.LoadKnown) {
     instance->ReportedLoad = done.Running + done.Waiting;
--- a/src/dispatch_pool.h
+++ b/src/dispatch_pool.h
@@ -60,8 +60,6 @@
   Instant ReportedAt{};
   /// Gets no requests until then, because it refused one as full.
   Instant FullUntil{};
-  /// Requests that it refused since it ran one.
-  uint32_t ConsecutiveSheds = 0;
   /// When each VM last used the instance, by VM handle; the VM may still hold
   /// an open connection.
   std::vector<Instant> UsedAt;
@@ -165,8 +163,6 @@
   PoolInstance *chooseCheapest(const PlacementInput &input, Instant now,
                                const Cost &cost);
   void collect(const PlacementInput &input, Instant now);
-  static void noteShed(PoolInstance &instance, const PlacementRelease &done,
-                       Instant now);
   static void noteNotice(PoolInstance &instance, VmHandle vm,
                          const PlacementRelease &done, Instant now);
   [[nodiscard]] bool isUsable(const PoolInstance &instance,
