--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,6 +5,6 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 code=0
-timeout -k 1 116 target/review/cut_unframed review/4/record.txt || code=$?
+timeout -k 1 116 target/review/reset_unframed review/4/record.txt || code=$?
 [ $code -le 1 ] || code=2
 exit $code
