--- a/review/standins/reset_unframed.cpp
+++ b/review/standins/reset_unframed.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Two instances answer without a length. One of them resets its connection in
-/// the middle of some answers.
+/// Two services of one instance each answer without a length. One of the
+/// instances resets its connection in the middle of some answers.
 #include "rig.h"
 
 namespace {
@@ -8,7 +8,7 @@
 using namespace rig;
 
 constexpr size_t Daemons = 3;
-constexpr size_t Clients = 6;
+constexpr size_t Clients = 12;
 constexpr int RequestsPerClient = 80;
 constexpr int64_t GapMs = 50;
 constexpr double BreakShare = 0.05;
@@ -38,8 +38,9 @@
                  broken ? ", but resets the connection half way" : "");
   if (broken) {
     linger reset{1, 0};
-    (void)it.Connection.send(head + text.substr(0, text.size() / 2));
     setsockopt(it.Connection.Fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    (void)it.Connection.send(head + text.substr(0, text.size() / 2));
+    it.Connection.close();
     return false;
   }
   (void)it.Connection.send(head + text);
@@ -57,11 +58,12 @@
   Fleet daemons(Daemons);
   fleet() = &daemons;
   Store &store = daemons.Platform;
-  store.put("op/config",
-            configuration(1, {Key}, {{"/a/", "safe", "service-a"}}));
+  store.put("op/config", configuration(1, {Key},
+                                       {{"/a/", "safe", "service-a"},
+                                        {"/b/", "safe", "service-b"}}));
   Instance one(store, "i-1", "service-a", "zone-a", 6,
                [](Arrival &it) { return run(it, true); });
-  Instance two(store, "i-2", "service-a", "zone-b", 6,
+  Instance two(store, "i-2", "service-b", "zone-b", 6,
                [](Arrival &it) { return run(it, false); });
   if (!one.open(daemons.instanceIp(0), Fleet::InstancePort) ||
       !two.open(daemons.instanceIp(1), Fleet::InstancePort))
@@ -73,22 +75,20 @@
   std::atomic<int> complete = 0;
   auto ask = [&](size_t client) {
     for (int n = 0; n < RequestsPerClient; ++n) {
-      size_t daemon = client % Daemons;
       Request request;
-      request.Path = "/a/rows";
+      request.Path = client % 2 == 0 ? "/a/rows" : "/b/rows";
       request.Id = "q" + std::to_string(client) + "-" + std::to_string(n);
       request.Key = Key;
-      Answer answer = call(daemons.ip(daemon), Fleet::FrontPort, request);
+      Answer answer = call(daemons.ip(0), Fleet::FrontPort, request);
       std::string whole = body(request.Id);
       bool success = answer.Status == 200 && answer.LooksWhole;
       complete += success && answer.Body == whole ? 1 : 0;
       wrong += success && answer.Body != whole ? 1 : 0;
       static const char *const Ends[] = {"open", "closed in an orderly way",
                                          "reset", "timed out"};
-      record()->line("%s to daemon %zu: %d, %zu of %zu bytes, connection %s",
-                     request.Id.c_str(), daemon, answer.Status,
-                     answer.Body.size(), whole.size(),
-                     Ends[static_cast<int>(answer.Ended)]);
+      record()->line("%s to daemon 0: %d, %zu of %zu bytes, connection %s",
+                     request.Id.c_str(), answer.Status, answer.Body.size(),
+                     whole.size(), Ends[static_cast<int>(answer.Ended)]);
       sleepMs(GapMs);
     }
   };
