Confirm only versions that have what a reader of the store saw

Cause: a version is the revision at which a reader first saw a content. A reader that never saw the key keeps its old version, and its mark "no version above this one was accepted" confirmed every lower or equal one in force as well as the later one with the key.

Evidence: one reader logs config-read for revision 118 and config-in-force 118; the other one logs config-read for revision 121, the withdrawal, and no config-in-force follows on any VM, while marks stay fresh. Ruled out: marks that count for too long, a lost push, clocks.

Change: a mark names the version whose content is the newest and the store's revision at which that was read. It counts for that version and for all from that revision on. A reader that finds a version in force which the store no longer holds gives the store's content a version of its own. VMs keep a few marks, so that one in between doesn't end their freshness. A reader without a configuration confirms no version that it does not know.

MarkRule is new with the type.

--- a/bench/bench_config.cpp
+++ b/bench/bench_config.cpp
@@ -287,7 +287,10 @@
     ++SentMessages;
     // Requests are answered at once by a peer with the same version.
     if (const auto *ask = std::get_if<ConfigMarkRequest>(&effect.Body)) {
-      ConfigMark mark{ask->Number, Version, Version, milliseconds(700), {}};
+      ConfigMark mark;
+      mark.Number = ask->Number;
+      mark.Version = mark.MarkVersion = mark.MarkRevision = Version;
+      mark.MarkAge = milliseconds(700);
       Answers.push_back({effect.To, mark});
       VmHandle from = Answers.back().first;
       PeerBody body = Answers.back().second;
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -188,13 +188,15 @@
   Duration Age{};
 };
 
-/// Replies to a `ConfigMarkRequest`: `MarkAge` ago the store's newest version
-/// was `MarkVersion`.
+/// Replies to a `ConfigMarkRequest`: `MarkAge` ago the store's newest content
+/// was that of `MarkVersion`.
 struct ConfigMark {
   uint32_t Number = 0;
   /// Active version at the sender.
   uint64_t Version = 0;
   uint64_t MarkVersion = 0;
+  /// Every version from this one on has all changes accepted by then.
+  uint64_t MarkRevision = UINT64_MAX;
   /// `Duration::max()` if the sender has no mark.
   Duration MarkAge = Duration::max();
   std::vector<ZoneOutage> Outages;
--- a/include/guavasail/store.h
+++ b/include/guavasail/store.h
@@ -164,6 +164,8 @@
   uint64_t Revision = 0;
   /// Set for a read or watch that ended with `Ok`.
   const StoreValue *Value = nullptr;
+  /// Revision of the whole store at which the key was read; 0 if unknown.
+  uint64_t StoreRevision = 0;
 };
 
 } // namespace guavasail
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -165,7 +165,8 @@
   ConfigMark mark;
   mark.Number = message.Number;
   mark.Version = Keeper.version();
-  mark.MarkVersion = Marks.markVersion();
+  mark.MarkVersion = Marks.mark().Version;
+  mark.MarkRevision = Marks.mark().Revision;
   mark.MarkAge = ageOf(Marks.markedAt(), step.Now);
   Duration maxAge = Marks.bounds().maxAge();
   for (ZoneHandle zone : step.Reach.Zones) {
@@ -194,7 +195,8 @@
   // counted from the sending, however long the answer took.
   Duration maxAge = Marks.bounds().maxAge();
   if (message.MarkAge >= Duration::zero() && message.MarkAge < maxAge)
-    Marks.confirm(message.MarkVersion, pending.Sent - message.MarkAge);
+    Marks.confirm({message.MarkVersion, message.MarkRevision,
+                   pending.Sent - message.MarkAge});
   for (const ZoneOutage &it : message.Outages)
     if (it.Age >= Duration::zero() && it.Age < maxAge)
       Marks.noteStoreOutage(step.Names.zone(it.Zone), pending.Sent - it.Age);
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -167,15 +167,16 @@
     const ConfigHead &head = *std::get_if<ConfigHead>(&InitialValue);
     SeenRevision = reply.Revision;
     SeenVersion = head.Version;
+    SeenHead = head;
     Keeper.offerHead(head);
-    Marks.confirm(SeenVersion, Confirming.Sent);
-    return;
+    return confirmSeen(Confirming.Sent, reply.StoreRevision);
   }
   if (reply.Outcome == StoreOutcome::Missing && Keeper.version() == 0) {
-    // Tells the other VMs that they need not read the store themselves.
+    // Tells the other VMs without a version that they need not read the store
+    // themselves. It says nothing about versions that this VM does not know.
     Reached = true;
     ConfirmFailed = false;
-    return Marks.confirm(0, Confirming.Sent);
+    return Marks.confirm({0, NoRevision, Confirming.Sent});
   }
   if (reply.Outcome != StoreOutcome::Conflict)
     return noteFailure(Confirming.Sent, step);
@@ -185,7 +186,7 @@
   if (HeadAbsent)
     NextConfirm = step.Now;
   else if (reply.Revision == SeenRevision)
-    Marks.confirm(SeenVersion, Confirming.Sent);
+    confirmSeen(Confirming.Sent, reply.StoreRevision);
   else {
     ConflictRevision = reply.Revision;
     ConflictAt = Confirming.Sent;
@@ -193,6 +194,36 @@
   }
 }
 
+/// Adds a mark for the head seen last.
+/// \param at when it was the newest one.
+/// \param storeRevision the store's revision then.
+void ConfigWatch::confirmSeen(Instant at, uint64_t storeRevision) {
+  if (!Times.VersionsNameContent)
+    return Marks.confirm({SeenVersion, SeenVersion, at});
+  matchContent(storeRevision);
+  Marks.confirm({SeenVersion, storeRevision, at});
+}
+
+/// Names the content seen last as the fleet does. If another reader saw a
+/// change in between that has been reverted, its version is in force although
+/// it lacks the later change: the content becomes a version of its own.
+/// \param storeRevision the store's revision at which the content was read.
+void ConfigWatch::matchContent(uint64_t storeRevision) {
+  if (Keeper.version() < SeenVersion)
+    return;
+  bool same = SeenHead.Chunks == Keeper.head().Chunks;
+  if (same)
+    SeenVersion = Keeper.version();
+  if (same || storeRevision <= Keeper.version())
+    return;
+  SeenHead.Version = storeRevision;
+  for (RecentChange &it : SeenHead.Recent)
+    it.Version = storeRevision;
+  SeenVersion = ReadVersion = storeRevision;
+  Marks.learnVersion(storeRevision);
+  Keeper.offerHead(SeenHead);
+}
+
 void ConfigWatch::onHead(const StoreReplied &reply, const ConfigStep &step) {
   const ConfigHead *head = reply.Outcome == StoreOutcome::Ok && reply.Value
                                ? std::get_if<ConfigHead>(reply.Value)
@@ -201,6 +232,7 @@
   if (!head || reply.Revision <= SeenRevision)
     return;
   SeenRevision = reply.Revision;
+  SeenHead = *head;
   bool known = Times.VersionsNameContent && Keeper.version() > 0 &&
                head->Chunks == Keeper.head().Chunks;
   SeenVersion = known ? Keeper.version() : head->Version;
@@ -212,7 +244,7 @@
   // The head that a confirmation found was the newest when it was sent; a head
   // from a watch has yet to be confirmed.
   if (ConflictRevision > 0 && SeenRevision >= ConflictRevision)
-    Marks.confirm(SeenVersion, ConflictAt);
+    confirmSeen(ConflictAt, reply.StoreRevision);
   else if (Active && !Confirming.open())
     NextConfirm = step.Now;
   ConflictRevision = 0;
--- a/src/config_watch.h
+++ b/src/config_watch.h
@@ -79,6 +79,8 @@
   void readChunks(const ConfigStep &step);
   void expire(const ConfigStep &step);
   void onConfirmed(const StoreReplied &reply, const ConfigStep &step);
+  void confirmSeen(Instant at, uint64_t storeRevision);
+  void matchContent(uint64_t storeRevision);
   void onHead(const StoreReplied &reply, const ConfigStep &step);
   void onChunk(Pending &read, const StoreReplied &reply,
                const ConfigStep &step);
@@ -104,7 +106,9 @@
   Instant NextWatch = Instant::min();
   /// The newest head seen in the store.
   uint64_t SeenRevision = 0;
+  /// The version that has its content. Another reader may have named it.
   uint64_t SeenVersion = 0;
+  ConfigHead SeenHead;
   /// The newest version whose chunks may be read from the store.
   uint64_t ReadVersion = 0;
   bool HeadAbsent = false;
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -24,11 +24,21 @@
   reach.InMajority = alive * 2 > listed && !members.mayBeIsolated(now);
 }
 
-void Freshness::confirm(uint64_t version, Instant at) {
-  learnVersion(version);
-  Mark &mark = version <= InForce ? CurrentMark : PendingMark;
-  if (at > mark.At)
-    mark = {version, at};
+void Freshness::confirm(const FreshMark &mark) {
+  learnVersion(mark.Version);
+  if (mark.covers(InForce) && mark.At > CurrentMark.At)
+    CurrentMark = mark;
+  // A newer mark of the same version replaces those that cover no other one.
+  std::erase_if(Marks, [&](const FreshMark &it) {
+    return it.Version == mark.Version && it.Revision >= mark.Revision &&
+           it.At <= mark.At;
+  });
+  auto at = std::upper_bound(
+      Marks.begin(), Marks.end(), mark.At,
+      [](Instant time, const FreshMark &it) { return time < it.At; });
+  Marks.insert(at, mark);
+  if (Marks.size() > MaxMarks)
+    Marks.erase(Marks.begin());
 }
 
 void Freshness::learnVersion(uint64_t version) {
@@ -38,11 +48,10 @@
 void Freshness::adopt(uint64_t version) {
   InForce = version;
   learnVersion(version);
-  if (PendingMark.Version > InForce)
-    return;
-  if (PendingMark.At > CurrentMark.At)
-    CurrentMark = PendingMark;
-  PendingMark = {};
+  auto newest =
+      std::find_if(Marks.rbegin(), Marks.rend(),
+                   [&](const FreshMark &it) { return it.covers(version); });
+  CurrentMark = newest == Marks.rend() ? FreshMark{} : *newest;
 }
 
 void Freshness::noteStoreOutage(ZoneHandle zone, Instant at) {
--- a/src/freshness.h
+++ b/src/freshness.h
@@ -65,15 +65,29 @@
 void measureReach(const MemberView &members, ZoneHandle self, Instant now,
                   FleetReach &reach);
 
-/// Holds freshness marks and outage reports. A mark states that at an instant
-/// no version above its version was accepted. All instants are lower bounds in
+/// What a reader of the store saw: at `At` the newest content was that of
+/// `Version`.
+struct FreshMark {
+  uint64_t Version = 0;
+  /// Every version from this one on has all changes accepted by `At`. A version
+  /// between the two may lack one that restored the content of `Version`.
+  uint64_t Revision = 0;
+  Instant At = Instant::min();
+
+  /// \returns true if \p version has all changes accepted by `At`.
+  [[nodiscard]] bool covers(uint64_t version) const {
+    return version == Version || version >= Revision;
+  }
+};
+
+/// Holds freshness marks and outage reports. All instants are lower bounds in
 /// this VM's clock.
 class Freshness {
 public:
   explicit Freshness(const FreshnessBounds &bounds) : Bounds(bounds) {}
 
-  /// Adds a mark: at \p at no version above \p version was accepted.
-  void confirm(uint64_t version, Instant at);
+  /// Adds a mark.
+  void confirm(const FreshMark &mark);
 
   /// Records that a version was accepted, whether or not it is in force here.
   void learnVersion(uint64_t version);
@@ -89,10 +103,9 @@
   /// \param reach the reachable part of the fleet.
   [[nodiscard]] FreshState evaluate(Instant now, const FleetReach &reach) const;
 
-  /// \returns the newest mark that covers the version in force, and the version
-  /// of that mark.
+  /// \returns the newest mark that covers the version in force.
+  [[nodiscard]] const FreshMark &mark() const { return CurrentMark; }
   [[nodiscard]] Instant markedAt() const { return CurrentMark.At; }
-  [[nodiscard]] uint64_t markVersion() const { return CurrentMark.Version; }
 
   /// \returns when \p zone last failed to reach the store.
   [[nodiscard]] Instant storeOutageAt(ZoneHandle zone) const;
@@ -100,10 +113,8 @@
   [[nodiscard]] const FreshnessBounds &bounds() const { return Bounds; }
 
 private:
-  struct Mark {
-    uint64_t Version = 0;
-    Instant At = Instant::min();
-  };
+  /// Marks that are kept for versions which may come into force.
+  static constexpr size_t MaxMarks = 16;
 
   [[nodiscard]] bool recent(Instant at, Instant now) const {
     return at != Instant::min() && now - at < Bounds.maxAge();
@@ -112,9 +123,9 @@
   FreshnessBounds Bounds;
   uint64_t InForce = 0;
   uint64_t Newest = 0;
-  Mark CurrentMark;
-  /// The newest mark of a version that is not in force yet.
-  Mark PendingMark;
+  FreshMark CurrentMark;
+  /// Known marks, oldest first.
+  std::vector<FreshMark> Marks;
   std::vector<Instant> OutageByZone;
 };
 
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -280,8 +280,8 @@
 template <> struct PeerFields<ConfigMark> {
   static constexpr uint32_t Kind = 41;
   static constexpr std::tuple Members{
-      &ConfigMark::Number, &ConfigMark::Version, &ConfigMark::MarkVersion,
-      &ConfigMark::MarkAge, &ConfigMark::Outages};
+      &ConfigMark::Number,       &ConfigMark::Version, &ConfigMark::MarkVersion,
+      &ConfigMark::MarkRevision, &ConfigMark::MarkAge, &ConfigMark::Outages};
 };
 
 template <> struct PeerFields<ConfigFetch> {
--- a/tests/config_apply_test.cpp
+++ b/tests/config_apply_test.cpp
@@ -216,7 +216,7 @@
   Freshness marks{FreshnessBounds{}};
   marks.adopt(7);
   if (row.MarkAge >= 0)
-    marks.confirm(7, ago(row.MarkAge));
+    marks.confirm({7, 7, ago(row.MarkAge)});
   for (uint32_t zone = 0; zone < 4; ++zone) {
     reach.Zones.push_back({zone});
     if (static_cast<int>(zone) < row.AwayZones)
@@ -233,6 +233,62 @@
                            return std::string(it.param.Name);
                          });
 
+/// A mark of a reader, and the versions that it confirms.
+struct MarkCase {
+  std::string_view Name;
+  uint64_t Version;
+  uint64_t Revision;
+  uint64_t InForce;
+  bool Confirms;
+};
+
+const MarkCase MarkCases[] = {
+    {"SameVersion", 7, 12, 7, true},
+    {"ReadLater", 7, 12, 12, true},
+    {"ReadMuchLater", 7, 12, 20, true},
+    {"RevertedInBetween", 7, 12, 9, false},
+    {"NotInForceYet", 7, 12, 5, false},
+    {"NamedByAnotherReader", 9, 8, 9, true},
+    {"OfNoConfiguration", 0, UINT64_MAX, 7, false},
+};
+
+class MarkRule : public testing::TestWithParam<MarkCase> {};
+
+/// A mark must not confirm a version whose content its reader did not see.
+TEST_P(MarkRule, ConfirmsWhatTheReaderSaw) {
+  const MarkCase &row = GetParam();
+  Instant now(std::chrono::seconds(100));
+  FleetReach reach;
+  for (bool adoptedFirst : {true, false}) {
+    Freshness marks{FreshnessBounds{}};
+    if (adoptedFirst)
+      marks.adopt(row.InForce);
+    marks.confirm({row.Version, row.Revision, now});
+    if (!adoptedFirst)
+      marks.adopt(row.InForce);
+    EXPECT_EQ(admits(marks.evaluate(now, reach)), row.Confirms);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, MarkRule, testing::ValuesIn(MarkCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+/// Marks that a VM got before a version came into force still count for it.
+TEST(Marks, AreKeptForTheNextVersion) {
+  Instant now(std::chrono::seconds(100));
+  FleetReach reach;
+  Freshness marks{FreshnessBounds{}};
+  marks.adopt(5);
+  marks.confirm({5, 8, now - std::chrono::seconds(2)});
+  marks.confirm({5, 12, now - std::chrono::seconds(1)});
+  // The newest mark was made after a later change reverted this version.
+  marks.adopt(9);
+  EXPECT_EQ(marks.markedAt(), now - std::chrono::seconds(2));
+  EXPECT_TRUE(admits(marks.evaluate(now, reach)));
+}
+
 } // namespace
 
 } // namespace guavasail
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -234,14 +234,44 @@
 
 void ConfigFleet::on(uint32_t vm, const StoreRead &effect) {
   ++Store.Calls;
+  bool own = Init.VersionsNameContent && effect.Key.Space == StoreSpace::Head;
+  if (own)
+    return reply(vm, readHead(Nodes[vm], effect), Duration::zero());
   if (storeReached(vm))
     reply(vm, Store.read(effect), Store.Faults.Delay);
 }
 
+/// Reads the catalog as a VM does for which a version names a content.
+StoreReplied ConfigFleet::readCatalog(Node &node, const StoreWrite &request) {
+  FakeStore::Entry newest = Store.head();
+  if (Store.Faults.HoldsNothing || !newest.Value)
+    return {request.Ticket, StoreOutcome::Missing, 0, nullptr};
+  node.ReadRevision = Store.revision();
+  const auto &head = std::get<ConfigHead>(*newest.Value);
+  if (head.Chunks != node.Read.Chunks) {
+    RecentChange change;
+    change.Id = "store-" + std::to_string(node.ReadRevision);
+    change.Version = node.ReadRevision;
+    node.Read = {node.ReadRevision, head.Chunks, {change}};
+  }
+  return {request.Ticket, StoreOutcome::Conflict, node.Read.Version, nullptr,
+          node.ReadRevision};
+}
+
+StoreReplied ConfigFleet::readHead(const Node &node, const StoreRead &request) {
+  if (node.Read.Version == 0)
+    return {request.Ticket, StoreOutcome::Missing, 0, nullptr};
+  ReadValue = node.Read;
+  return {request.Ticket, StoreOutcome::Ok, node.Read.Version, &ReadValue,
+          node.ReadRevision};
+}
+
 void ConfigFleet::on(uint32_t vm, const StoreWrite &effect) {
   ++Store.Calls;
   if (!storeReached(vm))
     return;
+  if (Init.VersionsNameContent)
+    return reply(vm, readCatalog(Nodes[vm], effect), Store.Faults.Delay);
   StoreReplied result = Store.write(effect);
   bool wrote = result.Outcome == StoreOutcome::Ok;
   if (wrote)
@@ -251,6 +281,8 @@
 }
 
 void ConfigFleet::on(uint32_t vm, const StoreWatch &effect) {
+  if (Init.VersionsNameContent)
+    return;
   ++Store.Calls;
   if (!storeReached(vm))
     return;
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -40,6 +40,10 @@
   StoreReplied read(const StoreRead &request);
   StoreReplied write(const StoreWrite &request);
 
+  /// Increases the revision without a change to any key that is read.
+  void touch() { ++Revisions; }
+  [[nodiscard]] uint64_t revision() const { return Revisions; }
+
   /// \returns the newest entry of the head, empty if there is none.
   Entry head() const;
   /// \returns an audit record, null if there is none.
@@ -62,6 +66,9 @@
   uint64_t Seed = 1;
   /// Parameters of the configuration parts.
   ConfigInit Part;
+  /// A version is the store's revision at which a VM first read its content,
+  /// so that VMs name the same content differently.
+  bool VersionsNameContent = false;
   /// Lost messages between daemons, in percent.
   uint32_t LossPercent = 0;
   Duration InZone = std::chrono::microseconds(300);
@@ -90,6 +97,9 @@
   /// \returns its version.
   uint64_t writeCatalog(const CatalogSpec &catalog);
 
+  /// Another writer changes a key that is no part of the catalog.
+  void touchStore() { Store.touch(); }
+
   /// Cuts or restores the link from one VM to another.
   void cut(uint32_t from, uint32_t to, bool down);
   /// Cuts or restores all links between a group and the rest, both ways.
@@ -107,6 +117,10 @@
   [[nodiscard]] FreshState freshState(uint32_t vm) const;
   [[nodiscard]] uint64_t version(uint32_t vm) const;
   [[nodiscard]] bool holdsKey(uint32_t vm, const Digest &key) const;
+  /// \returns the store's revision at which \p vm last read the catalog.
+  [[nodiscard]] uint64_t readRevision(uint32_t vm) const {
+    return Nodes[vm].ReadRevision;
+  }
   [[nodiscard]] NotReadyReason notReadyReason(uint32_t vm) const;
   [[nodiscard]] uint32_t vms() const {
     return static_cast<uint32_t>(Nodes.size());
@@ -139,6 +153,9 @@
     bool Paused = false;
     bool StoreCut = false;
     Instant MembersDue;
+    /// The catalog that this VM read last, and the revision of that read.
+    ConfigHead Read;
+    uint64_t ReadRevision = 0;
   };
   struct Delivery {
     Instant At;
@@ -175,6 +192,8 @@
   void on(uint32_t vm, const StoreWrite &effect);
   void on(uint32_t vm, const StoreWatch &effect);
   void on(uint32_t vm, const ChangeConcluded &effect);
+  StoreReplied readCatalog(Node &node, const StoreWrite &request);
+  StoreReplied readHead(const Node &node, const StoreRead &request);
   template <typename Other> void on(uint32_t, const Other &) {}
   void reply(uint32_t vm, const StoreReplied &reply, Duration delay);
   void fireWatches();
@@ -190,6 +209,7 @@
   std::map<std::pair<uint32_t, uint32_t>, Instant> LastHeard;
   std::priority_queue<Delivery> Queue;
   std::vector<Watch> Watches;
+  StoreValue ReadValue;
   uint64_t LastOrder = 0;
   EffectBuffer Effects;
   std::map<std::string, ChangeTrace> Changes;
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -538,6 +538,92 @@
     EXPECT_GE(fleet.version(vm), version) << "vm" << vm;
 }
 
+/// A change that only one of two readers sees before it is reverted, and what
+/// happens to that reader next.
+struct RevertCase {
+  std::string_view Name;
+  bool LosesStore = false;
+  bool Restarts = false;
+  /// Its messages to the other reader are lost.
+  bool CutFromOther = false;
+  /// Other keys of the store change all the while.
+  bool BusyStore = false;
+};
+
+constexpr RevertCase RevertCases[] = {
+    {"SeerKeepsStore"},
+    {"SeerLosesStore", true},
+    {"SeerLosesStoreThatIsBusy", true, false, false, true},
+    {"SeerLosesStoreAndOtherReader", true, false, true},
+    {"SeerRestarts", false, true},
+    {"SeerRestartsWithoutStore", true, true},
+};
+
+CatalogSpec catalogWith(const std::vector<std::string> &workspaces) {
+  CatalogSpec catalog = largeCatalog(20, 0);
+  for (const std::string &it : workspaces)
+    catalog.Workspaces.push_back(workspace(it));
+  return catalog;
+}
+
+class RevertedChange : public testing::TestWithParam<RevertCase> {};
+
+/// A reader that never saw a key must not confirm the version that has it.
+TEST_P(RevertedChange, IsInForceNowhereAfterTheBound) {
+  constexpr Duration Bound = seconds(5);
+  constexpr Duration Step = milliseconds(5);
+  const RevertCase &row = GetParam();
+  FleetInit init = readerInit();
+  init.VersionsNameContent = true;
+  init.Part.Bounds.AdmitDuringOutage = false;
+  ConfigFleet fleet(init);
+  fleet.writeCatalog(catalogWith({"port"}));
+  fleet.run(seconds(6));
+  std::vector<uint32_t> readers;
+  for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+    if (fleet.watches(vm))
+      readers.push_back(vm);
+  ASSERT_EQ(readers.size(), 2u);
+  // A lost read shifts one reader's phase.
+  fleet.cutStore(readers[1], true);
+  fleet.run(milliseconds(1200));
+  fleet.cutStore(readers[1], false);
+  fleet.run(seconds(3));
+  fleet.writeCatalog(catalogWith({"port", "school"}));
+  uint64_t added = fleet.Store.revision();
+  auto saw = [&](uint32_t vm) { return fleet.readRevision(vm) >= added; };
+  while (!saw(readers[0]) && !saw(readers[1]))
+    fleet.run(Step);
+  uint32_t seer = saw(readers[0]) ? readers[0] : readers[1];
+  uint32_t other = saw(readers[0]) ? readers[1] : readers[0];
+  ASSERT_FALSE(saw(other));
+  fleet.run(Step);
+  fleet.writeCatalog(catalogWith({"port"}));
+  Instant reverted = fleet.now();
+  fleet.cutStore(seer, row.LosesStore);
+  fleet.cut(seer, other, row.CutFromOther);
+  if (row.Restarts)
+    fleet.restart(seer);
+  while (fleet.now() - reverted < 2 * Bound) {
+    fleet.run(milliseconds(50));
+    if (row.BusyStore)
+      fleet.touchStore();
+    bool late = fleet.now() - reverted >= Bound;
+    for (uint32_t vm = 0; vm < fleet.vms(); ++vm) {
+      bool accepts = fleet.holdsKey(vm, sampleDigest("school"));
+      EXPECT_FALSE(late && fleet.admits(vm) && accepts) << "vm" << vm;
+      // Nothing is refused because of the revert.
+      EXPECT_TRUE(fleet.admits(vm) || (row.Restarts && vm == seer))
+          << "vm" << vm;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RevertedChange, testing::ValuesIn(RevertCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 struct Scenario {
   std::string_view Name;
   void (*Run)(ConfigFleet &fleet);
