A list of several pages has the revision of its first page

Cause: a catalog that was read in several pages took the revision of the last one as its version. A change between two pages can be missing on the first page, where the configuration is, while the version claims to have it; a mark of another reader then confirmed it.

Test that failed before: PagedRead/ChangeBetweenPages and ChangesBetweenAllPages.

--- /dev/null
+++ b/tests/platform_store_test.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// Reads of the platform's store that take several pages, which the test
+/// answers.
+#include "edge_harness.h"
+#include "kv_format.h"
+#include "store.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <poll.h>
+
+namespace guavasail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// One page: the store's revision when it was read, and its keys.
+struct PageSpec {
+  uint64_t StoreRevision;
+  std::vector<std::string_view> Keys;
+};
+
+struct PagedReadCase {
+  std::string_view Name;
+  std::vector<PageSpec> Pages;
+  /// Revision up to which the whole catalog has all changes.
+  uint64_t Complete;
+};
+
+const PagedReadCase PagedReads[] = {
+    {"OnePage", {{7, {"op/config", "servers/i-1"}}}, 7},
+    {"ChangeBetweenPages", {{7, {"op/config"}}, {11, {"servers/i-1"}}}, 7},
+    {"ChangesBetweenAllPages",
+     {{7, {"op/config"}}, {11, {"servers/i-1"}}, {12, {"servers/i-2"}}},
+     7},
+};
+
+std::ostream &operator<<(std::ostream &out, const PagedReadCase &row) {
+  return out << row.Name;
+}
+
+std::string valueOf(std::string_view key) {
+  if (key == "op/config")
+    return R"({"version":7,"listeners":[],"clusters":[{"name":"s"}]})";
+  return R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":2,)"
+         R"("state":"ready","sequence":1})";
+}
+
+std::string pageText(const PageSpec &page, bool more) {
+  Json items = Json::array();
+  for (std::string_view key : page.Keys) {
+    // A write encodes its value as a page does.
+    Json write = Json::parse(platform::writeBody(key, valueOf(key), 0));
+    items.push_back({{"key", key},
+                     {"value", write["writes"][0]["value"]},
+                     {"revision", 3},
+                     {"created", 3},
+                     {"lease", 0}});
+  }
+  std::string body = Json{{"items", items},
+                          {"has_more", more},
+                          {"store_revision", page.StoreRevision}}
+                         .dump();
+  return "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+/// Keeps the last reply of the store.
+class ReplySink : public EventSink {
+public:
+  void post(const EventBody &body) override {
+    if (const auto *reply = std::get_if<StoreReplied>(&body))
+      Reply = *reply;
+  }
+
+  std::optional<StoreReplied> Reply;
+};
+
+class PagedRead : public testing::TestWithParam<PagedReadCase> {
+protected:
+  PagedRead() { uv_loop_init(&Loop); }
+  ~PagedRead() override {
+    uv_run(&Loop, UV_RUN_DEFAULT);
+    uv_loop_close(&Loop);
+  }
+
+  /// Turns the loop until \p fd has bytes for the test.
+  void turnUntilReadable(int fd) {
+    pollfd item{fd, POLLIN, 0};
+    for (int n = 0; n < MaxTurns && ::poll(&item, 1, 1) == 0; ++n)
+      uv_run(&Loop, UV_RUN_NOWAIT);
+  }
+
+  static constexpr int MaxTurns = 5000;
+  uv_loop_t Loop{};
+  Listener Server;
+  ReplySink Sink;
+};
+
+/// A change between two pages must not count as read with the first page.
+TEST_P(PagedRead, IsCompleteUpToItsFirstPage) {
+  const std::vector<PageSpec> &pages = GetParam().Pages;
+  StoreSettings settings;
+  settings.Address = "127.0.0.1";
+  settings.Port = Server.port();
+  platform::Store store(Loop, settings, VmSpec{}, Sink);
+  StoreValue none;
+  StoreWrite confirm;
+  confirm.Value = &none;
+  store.start(confirm);
+  turnUntilReadable(Server.fd());
+  Wire calls = Server.accept();
+  for (size_t n = 0; n < pages.size(); ++n) {
+    turnUntilReadable(calls.fd());
+    ASSERT_TRUE(calls.receive());
+    calls.send(pageText(pages[n], n + 1 < pages.size()));
+  }
+  for (int n = 0; n < MaxTurns && !Sink.Reply; ++n) {
+    ::poll(nullptr, 0, 1);
+    uv_run(&Loop, UV_RUN_NOWAIT);
+  }
+  ASSERT_TRUE(Sink.Reply);
+  EXPECT_EQ(Sink.Reply->Outcome, StoreOutcome::Conflict);
+  EXPECT_EQ(Sink.Reply->Revision, GetParam().Complete);
+  EXPECT_EQ(Sink.Reply->StoreRevision, GetParam().Complete);
+  store.close();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, PagedRead, testing::ValuesIn(PagedReads),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+} // namespace
+
+} // namespace guavasail
