Repeat no attempt on a connection that carried the request

Cause: a refused attempt is repeated under the same id, and took the lowest free lane, on which the refusal had come. A late copy of the refusal bears the id of the request that waits there.

Evidence: the stand-in's record names the copy and the request that arrives; LateRefusal plays it for each status that says "not run". Ruled out: answers to other requests, which their id tells apart, and copies on an idle connection, which end it.

Change: an attempt takes a lane that carried none of the request's attempts, so the connection stays open for other requests. As a second bar the HTTP side replaces a connection that carried the same id, or another request without one, among its last 16 (backend-connection-renewed).

Tests that failed before: RepeatedAttempt (3 rows), LateRefusal (5 rows).

--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -7,8 +7,10 @@
 #include "log.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
+#include <functional>
 
 namespace guavasail {
 
@@ -89,6 +91,28 @@
   });
 }
 
+/// The ids of the latest requests on a connection, as hashes.
+class CarriedIds {
+public:
+  void add(std::string_view id) {
+    Hashes[Count++ % Hashes.size()] = hashOf(id);
+  }
+
+  [[nodiscard]] bool contains(std::string_view id) const {
+    auto end =
+        Hashes.begin() + static_cast<ptrdiff_t>(std::min(Count, Hashes.size()));
+    return std::find(Hashes.begin(), end, hashOf(id)) != end;
+  }
+
+private:
+  static uint64_t hashOf(std::string_view id) {
+    return std::hash<std::string_view>{}(id);
+  }
+
+  std::array<uint64_t, 16> Hashes{};
+  size_t Count = 0;
+};
+
 } // namespace
 
 /// One connection to an instance.
@@ -119,6 +143,7 @@
   uint32_t SkippedAnswers = 0;
   uint64_t SkippedBytes = 0;
   AttemptResponded Event;
+  CarriedIds Carried;
   std::string In;
   std::string Body;
   std::unique_ptr<HttpReader> Reader;
@@ -139,12 +164,21 @@
   Lanes.clear();
 }
 
+/// \returns the connection for an attempt. One that carried a request with the
+/// same id is not used again: the instance may repeat its answer to that one.
 BackHttp::Connection &BackHttp::lane(const StartAttempt &effect,
-                                     const InstanceSpec &instance) {
+                                     const InstanceSpec &instance,
+                                     const Exchange &exchange) {
   auto &slot = Lanes[laneKey(effect.Instance, effect.Connection)];
   bool same = slot && slot->Spec.Address == instance.Address &&
               slot->Spec.Port == instance.Port &&
               slot->Spec.Started == instance.Started;
+  if (same && Names.EchoedId && slot->Carried.contains(exchange.CallerId)) {
+    logLine(LogLevel::Info, "backend-connection-renewed",
+            {{"request", requestId(exchange)},
+             {"instance", std::string_view(slot->Spec.Name)}});
+    same = false;
+  }
   if (slot && !same)
     slot->Stream->close();
   if (!same) {
@@ -172,7 +206,7 @@
   call->Workspace = effect.Workspace;
   call->Remaining =
       std::chrono::ceil<std::chrono::milliseconds>(effect.Remaining);
-  Connection &it = lane(effect, instance);
+  Connection &it = lane(effect, instance, *exchange);
   call->Connection = &it;
   it.Call = call.get();
   it.Attempt = effect.Attempt;
@@ -242,6 +276,7 @@
   // A chunked body that is whole by now has a length.
   it.LastChunkSent = !exchange->BodyChunked || exchange->RequestWhole;
   it.HeadSent = true;
+  it.Carried.add(exchange->CallerId);
   it.Stream->write(requestHead(it, *exchange));
   sendBody(it);
 }
--- a/src/back_http.h
+++ b/src/back_http.h
@@ -58,7 +58,8 @@
   void onDrained(TcpStream &stream) override;
   void onEnd(TcpStream &stream, StreamEnd end) override;
 
-  Connection &lane(const StartAttempt &effect, const InstanceSpec &instance);
+  Connection &lane(const StartAttempt &effect, const InstanceSpec &instance,
+                   const Exchange &exchange);
   void beginRead(Connection &it);
   void sendHead(Connection &it);
   std::string requestHead(const Connection &it, const Exchange &exchange) const;
--- a/src/instance_table.h
+++ b/src/instance_table.h
@@ -5,6 +5,7 @@
 
 #include "guavasail/event.h"
 #include "guavasail/handle.h"
+#include "guavasail/limits.h"
 
 #include <bit>
 #include <cstdint>
@@ -55,23 +56,36 @@
 
   /// \returns true if one of \p limit lanes is free.
   [[nodiscard]] bool hasFreeLane(InstanceHandle handle, uint32_t limit) const {
-    return static_cast<uint32_t>(std::countr_one(at(handle).BusyLanes)) < limit;
+    return lowestFree(handle, 0) < limit;
   }
 
   /// Acquires the lowest free lane, which most likely has an idle connection.
   /// There must be a free lane.
-  Lane acquireLane(InstanceHandle handle) {
-    InstanceState &state = at(handle);
-    Lane lane{static_cast<uint32_t>(std::countr_one(state.BusyLanes))};
-    state.BusyLanes |= uint64_t{1} << lane.Value;
+  /// \param avoided bit mask of lanes that are taken only if no other one of
+  /// \p limit lanes is free.
+  Lane acquireLane(InstanceHandle handle, uint64_t avoided = 0,
+                   uint32_t limit = MaxLanes) {
+    Lane lane{lowestFree(handle, avoided)};
+    if (lane.Value >= limit)
+      lane.Value = lowestFree(handle, 0);
+    at(handle).BusyLanes |= maskOf(lane);
     return lane;
   }
 
   void releaseLane(InstanceHandle handle, Lane lane) {
-    at(handle).BusyLanes &= ~(uint64_t{1} << lane.Value);
+    at(handle).BusyLanes &= ~maskOf(lane);
   }
 
+  /// \returns the bit mask of one lane.
+  static uint64_t maskOf(Lane lane) { return uint64_t{1} << lane.Value; }
+
 private:
+  [[nodiscard]] uint32_t lowestFree(InstanceHandle handle,
+                                    uint64_t avoided) const {
+    uint64_t taken = at(handle).BusyLanes | avoided;
+    return static_cast<uint32_t>(std::countr_one(taken));
+  }
+
   std::vector<InstanceState> Items;
 };
 
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -67,7 +67,7 @@
     return refuse(request, refusalAfterFault(request, RefusalKind::NoInstance),
                   step);
   request.Instance = instance;
-  Lane lane = Instances.acquireLane(instance);
+  Lane lane = acquireLane(request, Subsets.at(service).Lanes);
   request.Current = {request.Self, ++request.Attempts};
   request.AttemptStarted = step.Now;
   Health.attemptStarted(request.Current, instance, step.Now);
@@ -75,6 +75,15 @@
                                  request.Deadline - step.Now});
 }
 
+/// Acquires one of \p limit lanes to the request's instance, if possible one
+/// that carried none of its attempts.
+Lane ReducerState::acquireLane(Request &request, uint32_t limit) {
+  Lane lane = Instances.acquireLane(request.Instance,
+                                    request.usedLanes(request.Instance), limit);
+  request.UsedLanes.push_back({request.Instance, lane});
+  return lane;
+}
+
 void ReducerState::onLaneFreed(const LaneFreed &event, Step &) {
   Instances.releaseLane(event.Instance, event.Connection);
 }
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -332,7 +332,7 @@
     releaseSlot(request, AttemptOutcome::Unused, step);
     return retryAttempt(request, false, false, RefusalKind::NoInstance, step);
   }
-  Lane lane = Instances.acquireLane(instance);
+  Lane lane = acquireLane(request, MaxLanes);
   request.Phase = RequestPhase::AttemptRunning;
   request.Load = {};
   request.Hedging = false;
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -80,6 +80,7 @@
   void onAttemptResponded(const AttemptResponded &event, Step &step);
   void onAttemptCompleted(const AttemptCompleted &event, Step &step);
   void onAttemptFailed(const AttemptFailed &event, Step &step);
+  Lane acquireLane(Request &request, uint32_t limit);
   void onLaneFreed(const LaneFreed &event, Step &step);
   void noteInstance(const Request &request, bool leaving, Duration backoff,
                     Instant now);
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -8,6 +8,7 @@
 #include "guavasail/event.h"
 #include "guavasail/handle.h"
 #include "guavasail/refusal.h"
+#include "instance_table.h"
 #include "record_claim.h"
 
 #include <cstdint>
@@ -29,6 +30,12 @@
   Relaying,
 };
 
+/// The connection of an attempt.
+struct LaneUse {
+  InstanceHandle Instance;
+  Lane Number;
+};
+
 /// One request in progress.
 struct Request {
   RequestHandle Self;
@@ -84,6 +91,19 @@
   Digest IdempotencyKey;
   /// Claim on the request's idempotency record, if it needs one.
   ClaimProgress Claim;
+  /// Connections of the attempts before. An instance may repeat its answer to
+  /// one of them there, and nothing tells the copy from the answer to another
+  /// attempt of the same request.
+  std::vector<LaneUse> UsedLanes;
+
+  /// \returns a bit mask of the lanes to \p instance that carried an attempt.
+  [[nodiscard]] uint64_t usedLanes(InstanceHandle instance) const {
+    uint64_t mask = 0;
+    for (const LaneUse &it : UsedLanes)
+      if (it.Instance == instance)
+        mask |= InstanceTable::maskOf(it.Number);
+    return mask;
+  }
 };
 
 /// Flat table of requests.
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -251,6 +251,48 @@
                            return std::string(it.param.Name);
                          });
 
+/// How the first attempt at the only instance ends.
+const AttemptEndCase RepeatedCases[] = {
+    {"AtMostOnceShed", "/unsafe/x", 503, true, true},
+    {"IdempotentShed", "/safe/x", 503, true, true},
+    {"IdempotentError", "/safe/x", 500, false, true},
+};
+
+class RepeatedAttempt : public testing::TestWithParam<AttemptEndCase> {};
+
+/// The instance may repeat its first answer on the connection, where it would
+/// be taken for the answer to the repeated attempt.
+TEST_P(RepeatedAttempt, TakesAnotherConnection) {
+  const AttemptEndCase &row = GetParam();
+  PlacementFixture fixture(1);
+  fixture.arrive(1, row.Path);
+  StartAttempt first = *fixture.last<StartAttempt>(1);
+  AttemptResponded event;
+  event.Attempt = first.Attempt;
+  event.Status = row.Status;
+  event.Shed = row.Shed;
+  fixture.post(LaneFreed{first.Instance, first.Connection});
+  fixture.post(event);
+  fixture.advance(seconds(2));
+  StartAttempt second = *fixture.last<StartAttempt>(1);
+  ASSERT_EQ(second.Attempt.Ordinal, 2u);
+  EXPECT_EQ(second.Instance, first.Instance);
+  EXPECT_NE(second.Connection, first.Connection);
+  fixture.post(LaneFreed{second.Instance, second.Connection});
+  fixture.answer(second, 200);
+  fixture.post(AttemptCompleted{second.Attempt, 4, {}});
+  // Other requests still use the connection, once the instance is in use.
+  fixture.advance(seconds(3));
+  fixture.arrive(2, row.Path);
+  ASSERT_TRUE(fixture.last<StartAttempt>(2));
+  EXPECT_EQ(fixture.last<StartAttempt>(2)->Connection, first.Connection);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RepeatedAttempt,
+                         testing::ValuesIn(RepeatedCases), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 TEST(Routes, WithoutAServiceRefuseTheirRequests) {
   PlacementFixture fixture(1);
   fixture.arrive(1, "/safe/unreadable/x");
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -427,6 +427,62 @@
                            return std::string(it.param.Name);
                          });
 
+/// A refusal that an instance repeats on a connection in use again.
+struct LateRefusalCase {
+  std::string_view Name;
+  std::string_view Kind;
+  std::string_view Refusal;
+};
+
+const LateRefusalCase LateRefusals[] = {
+    {"Full", "unsafe", "503 Service Unavailable"},
+    {"TooMany", "unsafe", "429 Too Many Requests"},
+    {"Misdirected", "unsafe", "421 Misdirected Request"},
+    {"BadRequest", "unsafe", "400 Bad Request"},
+    {"FullSafe", "safe", "503 Service Unavailable"},
+};
+
+std::ostream &operator<<(std::ostream &out, const LateRefusalCase &row) {
+  return out << row.Name;
+}
+
+class LateRefusal : public testing::TestWithParam<LateRefusalCase> {};
+
+/// A copy of the refusal of an attempt must not refuse the next attempt of the
+/// same request, which the instance runs.
+TEST_P(LateRefusal, IsNotTakenForTheNextAttempt) {
+  const LateRefusalCase &row = GetParam();
+  Deployment deployment(row.Kind);
+  Wire caller = Wire::dial(deployment.Ports[0]);
+  caller.send(deployment.request("id-1", row.Kind == "safe" ? "GET" : "POST"));
+  Wire lane = takeRequest(deployment);
+  std::string refusal =
+      "HTTP/1.1 " + std::string(row.Refusal) +
+      "\r\nX-Request-Id: id-1\r\nX-Not-Executed: 1\r\ncontent-length: 4\r\n"
+      "\r\nfull";
+  lane.Received.clear();
+  lane.send(refusal);
+  std::vector<pollfd> places = {{lane.fd(), POLLIN, 0},
+                                {deployment.Backend.fd(), POLLIN, 0}};
+  ASSERT_GT(::poll(places.data(), places.size(), WaitMillis), 0);
+  bool again = places[0].revents != 0;
+  Wire second = again ? Wire(-1) : deployment.Backend.accept();
+  Wire &used = again ? lane : second;
+  while (!wholeRequest(used.Received) && used.receive()) {
+  }
+  ASSERT_TRUE(wholeRequest(used.Received)) << "the request was not repeated";
+  lane.send(refusal);
+  used.send(answerTo("id-1", "own"));
+  readAnswer(caller);
+  EXPECT_EQ(caller.Received.substr(9, 3), "200") << caller.Received;
+  EXPECT_NE(caller.Received.find("own"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LateRefusal, testing::ValuesIn(LateRefusals),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 /// An entry that another writer left among those of the instances.
 struct OddEntryCase {
   std::string_view Name;
