Tell a reset that comes with the last bytes from an orderly end

Cause: libuv reports an orderly end for a hang-up that it finds in the turn in which it read the last bytes, without asking for the socket's error. A write that meets the reset first clears that error, with the same result.

Evidence: backend-answer-unframed with half of the bytes for these requests. UnframedResetIsNoEnd and UnframedResetWhileSendingIsNoEnd play both orders in one turn of the loop.

Change: at an end the socket is asked for its error, and a write that finds a reset is remembered. EPIPE alone is what a reset after the peer's orderly end leaves; such an answer is whole and is still served (EarlyUnframedAnswerIsKept).

Tests that failed before: EdgeScenario/UnframedResetIsNoEnd, UnframedResetWhileSendingIsNoEnd, RelayedUnframedResetIsPassedOn.

--- a/src/tcp_stream.cpp
+++ b/src/tcp_stream.cpp
@@ -1,6 +1,7 @@
 #include "tcp_stream.h"
 
 #include <array>
+#include <cerrno>
 #include <sys/socket.h>
 
 namespace guavasail {
@@ -99,6 +100,7 @@
   size_t sent = 0;
   if (queued() == 0) {
     int n = uv_try_write(streamOf(Tcp), &buf, 1);
+    noteWrite(n);
     sent = n > 0 ? static_cast<size_t>(n) : 0;
   }
   if (sent == bytes.size())
@@ -118,6 +120,7 @@
   auto *write = static_cast<Write *>(request->data);
   TcpStream &self = *write->Stream;
   delete write;
+  self.noteWrite(status);
   if (self.Closing || status != 0 || self.queued() > 0)
     return;
   if (self.CloseAfterWrite)
@@ -126,6 +129,13 @@
     self.Owner->onDrained(self);
 }
 
+/// Remembers a reset that a write found. `EPIPE` tells of one only after the
+/// peer's orderly end, or after this reset.
+void TcpStream::noteWrite(int status) {
+  WriteReset |= status < 0 && status != UV_EAGAIN && status != UV_EPIPE &&
+                status != UV_ECANCELED;
+}
+
 size_t TcpStream::queued() const { return Tcp.write_queue_size; }
 
 void TcpStream::setDeadline(uint64_t due) {
@@ -161,6 +171,21 @@
   self.Owner->onOpen(self);
 }
 
+/// \returns how a connection ended of which the library reported the end. It
+/// does so too for a reset that it finds together with the last bytes, without
+/// reading the socket's error.
+StreamEnd TcpStream::endOfRead() const {
+  uv_os_fd_t fd = -1;
+  int error = 0;
+  socklen_t size = sizeof error;
+  bool known =
+      uv_fileno(reinterpret_cast<const uv_handle_t *>(&Tcp), &fd) == 0 &&
+      getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0;
+  // A reset after the peer's orderly end leaves EPIPE.
+  bool ordered = known && !WriteReset && (error == 0 || error == EPIPE);
+  return ordered ? StreamEnd::Closed : StreamEnd::Reset;
+}
+
 void TcpStream::onRead(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf) {
   auto &self = *static_cast<TcpStream *>(stream->data);
   if (self.Closing || n == 0)
@@ -170,7 +195,7 @@
       self.Owner->onBytes(self, {buf->base, static_cast<size_t>(n)});
     return;
   }
-  self.finish(n == UV_EOF ? StreamEnd::Closed : StreamEnd::Reset);
+  self.finish(n == UV_EOF ? self.endOfRead() : StreamEnd::Reset);
 }
 
 void TcpStream::finish(StreamEnd end) {
--- a/src/tcp_stream.h
+++ b/src/tcp_stream.h
@@ -85,6 +85,8 @@
   ~TcpStream() = default;
 
   void startReading();
+  void noteWrite(int status);
+  [[nodiscard]] StreamEnd endOfRead() const;
   void finish(StreamEnd end);
   void armTimer(uint64_t due);
   static void onConnected(uv_connect_t *request, int status);
@@ -102,6 +104,8 @@
   int Handles = 2;
   bool Closing = false;
   bool CloseAfterWrite = false;
+  /// A write found the connection reset, which clears the socket's error.
+  bool WriteReset = false;
   bool Reading = false;
 };
 
--- a/tests/edge_harness.cpp
+++ b/tests/edge_harness.cpp
@@ -68,11 +68,13 @@
 
 Wire::Wire(Wire &&other) noexcept
     : Received(std::move(other.Received)), Ended(other.Ended),
+      EndedByReset(other.EndedByReset),
       Socket(std::exchange(other.Socket, -1)) {}
 
 Wire &Wire::operator=(Wire &&other) noexcept {
   std::swap(Received, other.Received);
   std::swap(Ended, other.Ended);
+  std::swap(EndedByReset, other.EndedByReset);
   std::swap(Socket, other.Socket);
   return *this;
 }
@@ -108,6 +110,7 @@
   ssize_t n = ::recv(Socket, buf.data(), buf.size(), 0);
   if (n <= 0) {
     Ended = true;
+    EndedByReset = n < 0 && errno == ECONNRESET;
     return false;
   }
   Received.append(buf.data(), static_cast<size_t>(n));
@@ -125,6 +128,12 @@
   Socket = -1;
 }
 
+void Wire::reset() {
+  linger atOnce{1, 0};
+  ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+  close();
+}
+
 Listener::Listener()
     : Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in address = loopback(0);
--- a/tests/edge_harness.h
+++ b/tests/edge_harness.h
@@ -38,11 +38,15 @@
   bool receive();
   void readToEnd();
   void close();
+  /// Closes with a reset.
+  void reset();
   [[nodiscard]] int fd() const { return Socket; }
 
   std::string Received;
   /// The peer ended the connection.
   bool Ended = false;
+  /// It did so with a reset.
+  bool EndedByReset = false;
 
 private:
   int Socket;
--- a/tests/edge_scenario_test.cpp
+++ b/tests/edge_scenario_test.cpp
@@ -1,5 +1,6 @@
 #include "edge_harness.h"
 
+#include <csignal>
 #include <gtest/gtest.h>
 
 namespace guavasail {
@@ -184,6 +185,91 @@
   expectEnd(caller);
 }
 
+constexpr std::string_view UnframedPart =
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf";
+
+/// Runs \p act while the daemon is stopped, so that it finds all of it in one
+/// turn of its loop.
+template <typename Act> void inOneTurn(const EdgeDaemon &daemon, Act act) {
+  daemon.Process->signal(SIGSTOP);
+  act();
+  daemon.Process->signal(SIGCONT);
+}
+
+/// A part of an answer without a length must not pass for the whole because its
+/// reset comes together with it.
+void unframedResetIsNoEnd(EdgeDaemon &daemon) {
+  Wire caller = daemon.dial();
+  caller.send(Post);
+  Wire backend = takeRequest(daemon);
+  inOneTurn(daemon, [&] {
+    backend.send(UnframedPart);
+    backend.reset();
+  });
+  expectAnswer(caller, "504");
+}
+
+/// The same if the daemon learns of the reset when it sends the body.
+void unframedResetWhileSendingIsNoEnd(EdgeDaemon &daemon) {
+  Wire caller = daemon.dial();
+  caller.send("POST /r/x HTTP/1.1\r\nhost: h\r\nx-api-key: edge-secret-key\r\n"
+              "content-length: 9\r\n\r\nabc");
+  Wire backend = daemon.Backend.accept();
+  while (backend.Received.find("abc") == std::string::npos &&
+         backend.receive()) {
+  }
+  inOneTurn(daemon, [&] {
+    caller.send("def");
+    backend.send(UnframedPart);
+    backend.reset();
+  });
+  expectAnswer(caller, "504");
+}
+
+void relayedUnframedResetIsPassedOn(EdgeDaemon &daemon) {
+  Wire caller = daemon.dial();
+  caller.send(Post);
+  Wire backend = takeRequest(daemon);
+  inOneTurn(daemon, [&] {
+    backend.send(UnframedPart);
+    backend.reset();
+  });
+  expectEnd(caller);
+  EXPECT_TRUE(caller.EndedByReset) << caller.Received;
+}
+
+void unframedAnswerEndsWithTheConnection(EdgeDaemon &daemon) {
+  Wire caller = daemon.dial();
+  caller.send(Post);
+  Wire backend = takeRequest(daemon);
+  inOneTurn(daemon, [&] {
+    backend.send(UnframedPart);
+    backend.close();
+  });
+  expectEnd(caller);
+  EXPECT_TRUE(caller.Received.starts_with("HTTP/1.1 200")) << caller.Received;
+  EXPECT_TRUE(caller.Received.ends_with("half")) << caller.Received;
+  EXPECT_FALSE(caller.EndedByReset);
+}
+
+/// An instance may answer and close before it has read the whole body.
+void earlyUnframedAnswerIsKept(EdgeDaemon &daemon) {
+  Wire caller = daemon.dial();
+  caller.send("POST /r/x HTTP/1.1\r\nhost: h\r\nx-api-key: edge-secret-key\r\n"
+              "content-length: 9\r\n\r\nabc");
+  Wire backend = daemon.Backend.accept();
+  while (backend.Received.find("abc") == std::string::npos &&
+         backend.receive()) {
+  }
+  inOneTurn(daemon, [&] {
+    caller.send("def");
+    backend.send(UnframedPart);
+    backend.close();
+  });
+  caller.receive();
+  EXPECT_TRUE(caller.Received.starts_with("HTTP/1.1 200")) << caller.Received;
+}
+
 void pipelinedRequestsKeepOrder(EdgeDaemon &daemon) {
   Wire caller = daemon.dial();
   caller.send(std::string(Get) + std::string(Get));
@@ -252,6 +338,8 @@
 
 const EdgeOptions Impatient = {.Limits = "caller_idle_ms = 1000"};
 
+const EdgeOptions Holding = {.Limits = "hold_answers = true"};
+
 const ScenarioCase Scenarios[] = {
     {"CallerGoneCancels", &callerGoneCancels},
     {"SlowHeadTimesOut", &slowHeadTimesOut, Impatient},
@@ -270,6 +358,13 @@
     {"LanesAreReused", &lanesAreReused, {.Daemon = "log_level = \"debug\""}},
     {"ContinueIsSentBeforeTheBody", &continueIsSentBeforeTheBody},
     {"NoContinueForRefusedBody", &noContinueForRefusedBody},
+    {"UnframedResetIsNoEnd", &unframedResetIsNoEnd, Holding},
+    {"UnframedResetWhileSendingIsNoEnd", &unframedResetWhileSendingIsNoEnd,
+     Holding},
+    {"RelayedUnframedResetIsPassedOn", &relayedUnframedResetIsPassedOn},
+    {"UnframedAnswerEndsWithTheConnection",
+     &unframedAnswerEndsWithTheConnection, Holding},
+    {"EarlyUnframedAnswerIsKept", &earlyUnframedAnswerIsKept, Holding},
     {"PipelinedRequestsKeepOrder", &pipelinedRequestsKeepOrder},
     {"LargeBodyIsPassed", &largeBodyIsPassed},
     {"NotReadyWithoutStore",
