Reset callers over TLS whose answer without a length breaks

Callers saw: over TLS, a part of an answer without a length with an orderly end (close_notify), if the instance resets its connection.

Cause: the front end for TLS reset only callers of HTTP/1.0. An answer that ends with the connection was closed like any other.

Change: such a connection is reset at once, before TLS announces its end. HTTP/2 ends its stream with an error as before; not shown by a test.

Test that failed before: EdgeSecureUnframed/Reset.

--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -80,6 +80,13 @@
 
 bool isHttp2(lws *wsi) { return lws_get_network_wsi(wsi) != wsi; }
 
+/// Resets a connection at once, before TLS can announce an orderly end.
+void resetSocket(int fd) {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  ::connect(fd, &none, sizeof(none));
+}
+
 /// Sends body bytes, the last ones with \p mode `LWS_WRITE_HTTP_FINAL`.
 bool sendBody(lws *wsi, std::string_view bytes, lws_write_protocol mode) {
   std::array<unsigned char, LWS_PRE + ChunkBytes + ChunkFrameBytes> buf;
@@ -401,12 +408,13 @@
 }
 
 int FrontHttp::breakOff(const Exchange &exchange) {
-  // An answer to HTTP/1.0 ends with the connection: only a reset tells a
-  // broken one from a whole one.
-  linger abort{1, 0};
-  if (exchange.OldCaller)
-    setsockopt(lws_get_socket_fd(callerOf(exchange)), SOL_SOCKET, SO_LINGER,
-               &abort, sizeof(abort));
+  // Where the connection ends the answer, only a reset tells a broken one from
+  // a whole one.
+  bool untilClose = exchange.OldCaller ||
+                    (exchange.Source && exchange.Source->Head.UntilClose);
+  lws *wsi = callerOf(exchange);
+  if (untilClose && !isHttp2(wsi))
+    resetSocket(lws_get_socket_fd(wsi));
   return -1;
 }
 
--- a/tests/edge_tls_test.cpp
+++ b/tests/edge_tls_test.cpp
@@ -1,10 +1,12 @@
 #include "edge_harness.h"
 
+#include <array>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <memory>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
+#include <openssl/ssl.h>
 #include <openssl/x509.h>
 #include <sstream>
 
@@ -133,6 +135,62 @@
                            return std::string(it.param.Name);
                          });
 
+/// How the instance ends an answer without a length.
+struct UnframedCase {
+  std::string_view Name;
+  bool Reset;
+};
+
+const UnframedCase UnframedCases[] = {{"Closed", false}, {"Reset", true}};
+
+std::ostream &operator<<(std::ostream &out, const UnframedCase &row) {
+  return out << row.Name;
+}
+
+class EdgeSecureUnframed : public testing::TestWithParam<UnframedCase> {};
+
+/// A broken answer without a length must not end in order: TLS would vouch for
+/// the end of a part.
+TEST_P(EdgeSecureUnframed, EndsAsTheInstanceEndedIt) {
+  EdgeDaemon daemon(secureOptions());
+  Wire wire = daemon.dial();
+  std::unique_ptr<SSL_CTX, Freed<SSL_CTX, &SSL_CTX_free>> context(
+      SSL_CTX_new(TLS_client_method()));
+  std::unique_ptr<SSL, Freed<SSL, &SSL_free>> tls(SSL_new(context.get()));
+  SSL_set_fd(tls.get(), wire.fd());
+  ASSERT_EQ(SSL_connect(tls.get()), 1);
+  std::string request =
+      "GET /r/x HTTP/1.1\r\nhost: h\r\nx-api-key: " + std::string(EdgeKey) +
+      "\r\n\r\n";
+  ASSERT_GT(
+      SSL_write(tls.get(), request.data(), static_cast<int>(request.size())),
+      0);
+  Wire backend = daemon.Backend.accept();
+  while (!wholeRequest(backend.Received) && backend.receive()) {
+  }
+  backend.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+  std::string received;
+  std::array<char, 4096> buf{};
+  int n = 0;
+  while (received.find("half") == std::string::npos &&
+         (n = SSL_read(tls.get(), buf.data(), buf.size())) > 0)
+    received.append(buf.data(), static_cast<size_t>(n));
+  EXPECT_NE(received.find("half"), std::string::npos) << received;
+  if (GetParam().Reset)
+    backend.reset();
+  else
+    backend.close();
+  n = SSL_read(tls.get(), buf.data(), buf.size());
+  EXPECT_LE(n, 0);
+  bool inOrder = SSL_get_error(tls.get(), n) == SSL_ERROR_ZERO_RETURN;
+  EXPECT_EQ(inOrder, !GetParam().Reset);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EdgeSecureUnframed,
+                         testing::ValuesIn(UnframedCases), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 } // namespace
 
 } // namespace guavasail
