Bound what waits for its end in all readers of HTTP

Another operator reported a machine that kept endless bytes of an instance until it ran out of memory.

Here instances were bounded, callers were not: the header of a chunk and trailers without an end stayed in memory as they came.

Change: the bound of 64 KB moves into the reader, which instances, callers and the store share.

Tests that failed before: EndlessRequest/ChunkHeader and Trailer.

--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -27,8 +27,6 @@
 constexpr uint32_t UnavailableStatus = 503;
 /// Longest time for which an instance may turn this VM away.
 constexpr Duration MaxBackoff = std::chrono::minutes(10);
-/// Bytes of a head or of a chunk's header that wait for their end.
-constexpr size_t MaxPartialBytes = 64 * 1024;
 /// Interim responses and responses to other requests, and their bytes, that
 /// may precede the response to a request.
 constexpr uint32_t MaxSkippedAnswers = 32;
@@ -337,8 +335,6 @@
     if (it.Reader->fault() != ReadFault::None)
       return fail(it, it.Answered ? AttemptFault::Truncated
                                   : AttemptFault::MalformedAnswer);
-    if (it.In.size() > MaxPartialBytes)
-      return fail(it, AttemptFault::MalformedAnswer);
     if (!it.Reader->headRead())
       return;
     if (!it.AnswerBegun && !takeHead(it, *exchange))
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -18,6 +18,8 @@
 constexpr std::string_view ChunkedCoding = "chunked";
 constexpr uint32_t FirstFinalStatus = 200;
 constexpr uint32_t LastStatus = 599;
+/// Bytes of a head, a chunk header or trailers that wait for their end.
+constexpr size_t MaxPartialBytes = 64 * 1024;
 
 std::string_view view(string_view text) { return {text.data(), text.size()}; }
 
@@ -172,6 +174,9 @@
   size_t n = State->put(bytes, ec);
   if (ec && ec != http::error::need_more)
     State->Fault = faultOf(ec);
+  else if (!State->done() && bytes.size() - n > MaxPartialBytes)
+    State->Fault =
+        State->headDone() ? ReadFault::Malformed : ReadFault::HeadTooLarge;
   return n;
 }
 
--- a/tests/edge_harness.cpp
+++ b/tests/edge_harness.cpp
@@ -188,6 +188,14 @@
   return Id >= 0;
 }
 
+size_t Child::residentBytes() const {
+  std::ifstream status("/proc/" + std::to_string(Id) + "/statm");
+  size_t total = 0;
+  size_t resident = 0;
+  status >> total >> resident;
+  return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 int Child::wait() {
   for (int n = 0; n < WaitMillis && Id >= 0; ++n) {
     if (::waitpid(Id, &Status, WNOHANG) == Id) {
--- a/tests/edge_harness.h
+++ b/tests/edge_harness.h
@@ -86,6 +86,8 @@
   void signal(int number) const;
   /// \returns false once it has ended.
   [[nodiscard]] bool running();
+  /// \returns its memory in bytes, 0 once it has ended.
+  [[nodiscard]] size_t residentBytes() const;
   /// \returns the exit status, or -1 if it did not end by itself.
   int wait();
 
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -415,6 +415,55 @@
   return out << row.Name;
 }
 
+/// Bytes of a request that never ends.
+struct EndlessRequestCase {
+  std::string_view Name;
+  /// Sent once, then `Rest` again and again.
+  std::string Start;
+  std::string Rest;
+};
+
+const std::string ChunkedStart =
+    ask("POST", "/r/x", "transfer-encoding: chunked\r\n");
+
+const EndlessRequestCase EndlessRequests[] = {
+    {"StartLine", "GET /", std::string(1000, 'a')},
+    {"Head", "GET /r/x HTTP/1.1\r\nx: ", std::string(1000, 'a')},
+    {"HeadLines", "GET /r/x HTTP/1.1\r\n", "x-more: of the same\r\n"},
+    {"ChunkHeader", ChunkedStart + "5;", std::string(1000, 'a')},
+    {"Trailer", ChunkedStart + "1\r\nx\r\n0\r\n", "x-more: of the same\r\n"},
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessRequestCase &row) {
+  return out << row.Name;
+}
+
+class EndlessRequest : public testing::TestWithParam<EndlessRequestCase> {};
+
+/// What a caller sends without end must not stay in memory.
+TEST_P(EndlessRequest, EndsWithTheConnection) {
+  constexpr size_t MaxBytes = 64 * 1024 * 1024;
+  const EndlessRequestCase &row = GetParam();
+  EdgeDaemon daemon;
+  Wire caller = daemon.dial();
+  caller.send(row.Start);
+  std::string part;
+  while (part.size() < 16 * 1024)
+    part += row.Rest;
+  size_t before = daemon.Process->residentBytes();
+  size_t sent = 0;
+  while (sent < MaxBytes && caller.trySend(part))
+    sent += part.size();
+  EXPECT_TRUE(daemon.Process->running());
+  EXPECT_LT(daemon.Process->residentBytes(), before + MaxBytes / 4) << sent;
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EndlessRequest,
+                         testing::ValuesIn(EndlessRequests),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 class EdgeForwarded : public testing::TestWithParam<ForwardedCase> {};
 
 TEST_P(EdgeForwarded, KeepsTheMessage) {
