End all requests of a draining VM before it is ended by force

Another operator reported requests that came late in the grace of a planned stop, were passed on and cut at its end.

Here: a VM takes requests for 2.6 s after SIGTERM and refuses later ones. It did not know when it is ended by force, so one that waited for a slot was passed on 0.1 s before, with a deadline seconds after (DrainGrace).

Change: drain_grace_ms. While a VM drains, a request ends 0.3 s before the grace does: that is the deadline that an instance gets, and a request that waits by then is refused as not run. Times in the settings may be decimal numbers, since the platform gives the grace in seconds.

--- a/include/guavasail/limits.h
+++ b/include/guavasail/limits.h
@@ -43,6 +43,9 @@
   /// Time for which a draining VM still accepts requests, until the load
   /// balancer in front of it has seen the failed readiness check.
   Duration DrainAcceptPeriod{};
+  /// Time after which the platform ends a draining VM by force; zero if it
+  /// waits.
+  Duration DrainGracePeriod{};
 };
 
 } // namespace guavasail
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -43,6 +43,10 @@
     &call<LimitsChanged, &ReducerState::onLimitsChanged>,
 };
 
+/// Time before the forced end of a drain that the last answers take to their
+/// callers.
+constexpr Duration DrainReserve = std::chrono::milliseconds(300);
+
 using TimerHandler = void (ReducerState::*)(const Timer &, Step &);
 
 /// Handlers in the order of `TimerKind`.
@@ -104,6 +108,12 @@
 void ReducerState::onDrainRequested(const DrainRequested &, Step &step) {
   Draining = true;
   DrainStart = step.Now;
+  if (Bounds.DrainGracePeriod > Duration::zero()) {
+    DrainLimit = step.Now + std::max(Bounds.DrainGracePeriod - DrainReserve,
+                                     Bounds.DrainAcceptPeriod);
+    for (Request &it : Requests.items())
+      limitToDrain(it);
+  }
   Members.leave({step.Now, step.Effects});
   Presence.leave({step.Now, step.Effects});
   resignPlacement(step);
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -78,7 +78,7 @@
   Duration allowed = Catalog.at(request.Route).Timeout;
   if (event.CallerTimeout > Duration::zero())
     allowed = std::min(allowed, event.CallerTimeout);
-  request.Deadline = step.Now + allowed;
+  request.Deadline = std::min(step.Now + allowed, DrainLimit);
   Timers.arm({request.Deadline, {request.Self, 0}, TimerKind::RequestDeadline});
   request.IdempotencyKey = event.IdempotencyKey;
   if (!request.Workspace.valid())
@@ -134,6 +134,16 @@
     step.Effects.push(DrainCompleted{});
 }
 
+/// Ends a request before this VM is ended by force: it is refused if no
+/// instance has got it by then. An answer on its way to the caller goes on.
+void ReducerState::limitToDrain(Request &request) {
+  if (request.Phase == RequestPhase::Free ||
+      request.Phase == RequestPhase::Relaying || request.Deadline <= DrainLimit)
+    return;
+  request.Deadline = DrainLimit;
+  Timers.arm({DrainLimit, {request.Self, 0}, TimerKind::RequestDeadline});
+}
+
 void ReducerState::onDrainEnd(const Timer &, Step &step) {
   endDrainIfIdle(step);
 }
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -161,6 +161,7 @@
   // Lifecycle of this VM in the fleet (reducer_request.cpp).
   void onPresenceReplied(const PresenceReplied &event, Step &step);
   void onDrainEnd(const Timer &timer, Step &step);
+  void limitToDrain(Request &request);
   void endDrainIfIdle(Step &step);
   void reportDecision(DecisionKind kind, const Request &request, Step &step,
                       Duration wait = {});
@@ -234,6 +235,8 @@
   bool Ready = false;
   bool Draining = false;
   Instant DrainStart{};
+  /// When the last requests end, before the VM is ended by force.
+  Instant DrainLimit = NeverInstant;
 };
 
 /// \returns the refusal that tells whether the request may have run, or
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -12,6 +12,7 @@
 #include "record_claim.h"
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace guavasail {
@@ -141,6 +142,9 @@
     --Open;
   }
 
+  /// \returns all requests; those that ended are in phase `Free`.
+  [[nodiscard]] std::span<Request> items() { return Items; }
+
   /// \returns the number of requests in progress.
   [[nodiscard]] uint32_t open() const { return Open; }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -4,6 +4,7 @@
 #include "settings_fields.h"
 
 #include <array>
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <limits>
@@ -41,6 +42,9 @@
   SettingsFailures Collected;
 };
 
+/// Largest time that is read from a decimal number: a year.
+constexpr double MaxDecimalMillis = 366.0 * 24 * 3600 * 1000;
+
 uint32_t lineOf(const toml::node &node) { return node.source().begin.line; }
 
 /// Validates a TOML value and assigns it to a member of any supported type.
@@ -75,8 +79,16 @@
       Target.*member = static_cast<Integer>(*value);
   }
 
+  /// A time may be a decimal number, such as one with an exponent.
   void operator()(Duration Spec::*member) {
-    if (auto value = number())
+    auto decimal = Node.template value_exact<double>();
+    if (decimal && !(*decimal >= 0 && *decimal <= MaxDecimalMillis))
+      return Failures.add(SettingsFault::ValueOutOfRange, lineOf(Node), Key,
+                          "a time in milliseconds");
+    if (decimal)
+      Target.*member = std::chrono::milliseconds(
+          static_cast<int64_t>(std::llround(*decimal)));
+    else if (auto value = number())
       Target.*member = std::chrono::milliseconds(*value);
   }
 
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -193,6 +193,7 @@
     {"lane_idle_ms", &Limits::LaneIdleTimeout, false, 1},
     {"hold_answers", &Limits::BufferResponses},
     {"drain_accept_ms", &Limits::DrainAcceptPeriod},
+    {"drain_grace_ms", &Limits::DrainGracePeriod},
 });
 
 inline constexpr auto InstanceFields = std::to_array<Field<InstanceSpec>>({
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -55,6 +55,13 @@
     post(CatalogAccepted{&Catalog});
   }
 
+  /// Applies a catalog in which all routes have a timeout.
+  void setTimeout(Duration time) {
+    for (RouteSpec &it : Catalog.Routes)
+      it.Timeout = time;
+    post(CatalogAccepted{&Catalog});
+  }
+
   /// Applies a catalog in which the first instance was restarted.
   void restartInstance() {
     Catalog.Services[0].Instances[0].Started = 9;
@@ -510,6 +517,74 @@
   EXPECT_TRUE(fixture.last<StartAttempt>(2));
 }
 
+/// When a request comes to a VM that drains and is ended by force after 6 s,
+/// when the only slot becomes free, and what becomes of the request.
+struct DrainGraceCase {
+  std::string_view Name;
+  /// From the start of the drain; negative before it.
+  milliseconds Arrival;
+  milliseconds SlotFree;
+  bool Sent;
+};
+
+const DrainGraceCase DrainGraceCases[] = {
+    {"QueuedBefore", milliseconds(-100), milliseconds(1000), true},
+    {"QueuedUntilTheEnd", milliseconds(2500), milliseconds(5900), false},
+    {"QueuedAfterTheStart", milliseconds(2500), milliseconds(4000), true},
+    {"TooLate", milliseconds(3500), milliseconds(4000), false},
+};
+
+std::ostream &operator<<(std::ostream &out, const DrainGraceCase &row) {
+  return out << row.Name;
+}
+
+class DrainGrace : public testing::TestWithParam<DrainGraceCase> {};
+
+/// A request that a draining VM passes on must end before the VM does.
+TEST_P(DrainGrace, CutsNoRequest) {
+  constexpr milliseconds Grace = seconds(6);
+  const DrainGraceCase &row = GetParam();
+  ReducerInit init = PlacementFixture::reducerInit();
+  init.Bounds.DrainAcceptPeriod = milliseconds(2600);
+  init.Bounds.DrainGracePeriod = Grace;
+  PlacementFixture fixture(1, init);
+  fixture.setTimeout(seconds(8));
+  // Takes the slot until its answer is complete.
+  fixture.arrive(1, "/unsafe/x");
+  StartAttempt first = *fixture.last<StartAttempt>(1);
+  fixture.answer(first, 200);
+  milliseconds now = std::min(row.Arrival, milliseconds(0));
+  auto advanceTo = [&](milliseconds time) {
+    fixture.advance(time - now);
+    now = time;
+  };
+  if (row.Arrival < milliseconds(0))
+    fixture.arrive(2, "/unsafe/x");
+  advanceTo(milliseconds(0));
+  fixture.post(DrainRequested{});
+  if (row.Arrival >= milliseconds(0)) {
+    advanceTo(row.Arrival);
+    fixture.arrive(2, "/unsafe/x");
+  }
+  advanceTo(row.SlotFree);
+  fixture.post(AttemptCompleted{first.Attempt, 4, {}});
+  advanceTo(Grace);
+  auto sent = fixture.last<StartAttempt>(2);
+  EXPECT_EQ(sent.has_value(), row.Sent);
+  auto refused = fixture.last<RefuseRequest>(2);
+  ASSERT_TRUE(refused) << "neither answered nor refused before the end";
+  if (!row.Sent) {
+    EXPECT_EQ(refusalSpec(refused->Kind).Run, RunState::NotRun);
+  } else {
+    EXPECT_LE(row.SlotFree + sent->Remaining, Grace);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, DrainGrace, testing::ValuesIn(DrainGraceCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 TEST(Overdue, AttemptContinuesWithoutFreeInstance) {
   PlacementFixture fixture(2);
   fixture.arrive(1, "/safe/x");
