--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <limits>
 #include <sys/socket.h>
 
@@ -84,7 +85,9 @@
 void resetSocket(int fd) {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  ::connect(fd, &none, sizeof(none));
+  if (::connect(fd, &none, sizeof(none)) != 0)
+    logLine(LogLevel::Warning, "caller-not-reset",
+            {{"error", static_cast<int64_t>(errno)}});
 }
 
 /// Sends body bytes, the last ones with \p mode `LWS_WRITE_HTTP_FINAL`.
