--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -76,12 +76,11 @@
 }
 
 /// Acquires one of \p limit lanes to the request's instance, if possible one
-/// that carried none of its attempts.
+/// that carried no answer to it.
 Lane ReducerState::acquireLane(Request &request, uint32_t limit) {
-  Lane lane = Instances.acquireLane(request.Instance,
-                                    request.usedLanes(request.Instance), limit);
-  request.UsedLanes.push_back({request.Instance, lane});
-  return lane;
+  request.CurrentLane = Instances.acquireLane(
+      request.Instance, request.usedLanes(request.Instance), limit);
+  return request.CurrentLane;
 }
 
 void ReducerState::onLaneFreed(const LaneFreed &event, Step &) {
@@ -135,6 +134,7 @@
   bool again =
       failed && isRetrySafe(*request) && request->Attempts < Bounds.Attempts;
   if (again) {
+    request->UsedLanes.push_back({request->Instance, request->CurrentLane});
     step.Effects.push(CancelAttempt{request->Current});
     return startAttempt(*request, step);
   }
@@ -152,6 +152,7 @@
   bool again = failed && isRetrySafe(request) &&
                request.PossibleRuns + 1 < maxRuns(request);
   if (event.Shed || again) {
+    request.UsedLanes.push_back({request.Instance, request.CurrentLane});
     step.Effects.push(CancelAttempt{request.Current});
     releaseSlot(request, attemptOutcomeOf(event), step);
     return retryAttempt(request, !event.Shed, true, RefusalKind::Overloaded,
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -31,7 +31,7 @@
   Relaying,
 };
 
-/// The connection of an attempt.
+/// A connection that carried an attempt and its answer.
 struct LaneUse {
   InstanceHandle Instance;
   Lane Number;
@@ -92,9 +92,11 @@
   Digest IdempotencyKey;
   /// Claim on the request's idempotency record, if it needs one.
   ClaimProgress Claim;
-  /// Connections of the attempts before. An instance may repeat its answer to
-  /// one of them there, and nothing tells the copy from the answer to another
-  /// attempt of the same request.
+  /// Connection of the attempt in progress.
+  Lane CurrentLane;
+  /// Connections of the attempts that were answered before. An instance may
+  /// repeat its answer there, and nothing tells the copy from the answer to
+  /// another attempt of the same request.
   std::vector<LaneUse> UsedLanes;
 
   /// \returns a bit mask of the lanes to \p instance that carried an attempt.
