Return the rate token of a request that has not run

Callers saw 429 although their workspace was inside its rate: a token was spent at admission and kept by requests that were then refused, rejected by instances or left by their callers. The rate limit counts requests that run.

A request that ends without having run now returns its token to the VM that granted it (QuotaReturn), and a grant that comes too late is returned too. The table test TokenReturn fails for its first two rows without the change.

--- a/include/guavasail/dispatch.h
+++ b/include/guavasail/dispatch.h
@@ -166,11 +166,21 @@
 enum class QuotaVerdict : uint8_t { Admitted, Refused, NotOwner };
 
 struct QuotaReply {
+  /// Copied from the request.
+  uint64_t Workspace = 0;
   RequestHandle Request;
   QuotaVerdict Verdict = QuotaVerdict::NotOwner;
   Duration RetryAfter{};
 };
 
+/// Returns the token of an admitted request that no instance has run. The rate
+/// limit counts requests that run.
+struct QuotaReturn {
+  /// Hash of the workspace's name.
+  uint64_t Workspace = 0;
+  RequestHandle Request;
+};
+
 } // namespace guavasail
 
 #endif
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -249,7 +249,8 @@
                  QuarantineNotice, TokenRequest, TokenGrant, ConfigMarkRequest,
                  ConfigMark, ConfigFetch, ConfigDelta, ConfigHeadUpdate,
                  ConfigChunkRequest, ConfigChunkPart, PlacementRequest,
-                 PlacementReply, PlacementRelease, QuotaRequest, QuotaReply>;
+                 PlacementReply, PlacementRelease, QuotaRequest, QuotaReply,
+                 QuotaReturn>;
 
 } // namespace guavasail
 
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -360,7 +360,14 @@
 template <> struct PeerFields<QuotaReply> {
   static constexpr uint32_t Kind = 54;
   static constexpr std::tuple Members{
-      &QuotaReply::Request, &QuotaReply::Verdict, &QuotaReply::RetryAfter};
+      &QuotaReply::Workspace, &QuotaReply::Request, &QuotaReply::Verdict,
+      &QuotaReply::RetryAfter};
+};
+
+template <> struct PeerFields<QuotaReturn> {
+  static constexpr uint32_t Kind = 55;
+  static constexpr std::tuple Members{&QuotaReturn::Workspace,
+                                      &QuotaReturn::Request};
 };
 
 } // namespace guavasail
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -89,7 +89,7 @@
                          Instant now) {
   Bucket *bucket = find(request.Workspace);
   if (!bucket)
-    return reply(from, request.Request, QuotaVerdict::NotOwner);
+    return reply(from, request, QuotaVerdict::NotOwner);
   bool ownerMayHaveChanged = ChangedAt > bucket->LastRequestAt + HandoverTime;
   if (ownerMayHaveChanged) {
     bucket->Tokens = 0;
@@ -101,7 +101,7 @@
   auto ahead = static_cast<double>(bucket->Queue.size());
   if (bucket->Queue.empty() && bucket->Tokens >= 1) {
     bucket->Tokens -= 1;
-    return reply(from, request.Request, QuotaVerdict::Admitted);
+    return reply(from, request, QuotaVerdict::Admitted);
   }
   Duration wait = timeUntilTokens(*bucket, ahead + 1);
   if (wait <= MaxWait && bucket->Queue.size() < MaxWaiting) {
@@ -109,19 +109,20 @@
     ++Queued;
     return;
   }
-  reply(from, request.Request, QuotaVerdict::Refused,
+  reply(from, request, QuotaVerdict::Refused,
         std::clamp(wait, MinRetryAfter, MaxRetryAfter));
 }
 
 QuotaReply QuotaTable::acquireLocal(const QuotaRequest &request, Instant now) {
   Bucket *bucket = find(request.Workspace);
   if (!bucket || bucket->Limit.RatePerSecond == 0)
-    return {request.Request, QuotaVerdict::Admitted, {}};
+    return {request.Workspace, request.Request, QuotaVerdict::Admitted, {}};
   refill(*bucket, now);
   if (bucket->LocalTokens < 1)
-    return {request.Request, QuotaVerdict::Refused, MinRetryAfter * 2};
+    return {request.Workspace, request.Request, QuotaVerdict::Refused,
+            MinRetryAfter * 2};
   bucket->LocalTokens -= 1;
-  return {request.Request, QuotaVerdict::Admitted, {}};
+  return {request.Workspace, request.Request, QuotaVerdict::Admitted, {}};
 }
 
 void QuotaTable::admitWaiting(Bucket &bucket, Instant now) {
@@ -131,14 +132,24 @@
     Waiting it = bucket.Queue.front();
     bucket.Queue.pop_front();
     --Queued;
-    reply(it.Vm, it.Request, QuotaVerdict::Admitted);
+    reply(it.Vm, {bucket.Limit.Key, it.Request}, QuotaVerdict::Admitted);
   }
 }
 
+void QuotaTable::returnToken(const QuotaReturn &unused, Instant now) {
+  Bucket *bucket = find(unused.Workspace);
+  if (!bucket)
+    return;
+  refill(*bucket, now);
+  bucket->Tokens = std::min<double>(std::max(bucket->Limit.Burst, 1U),
+                                    bucket->Tokens + 1);
+  admitWaiting(*bucket, now);
+}
+
 void QuotaTable::resign() {
   for (Bucket &bucket : Buckets) {
     for (const Waiting &it : bucket.Queue)
-      reply(it.Vm, it.Request, QuotaVerdict::NotOwner);
+      reply(it.Vm, {bucket.Limit.Key, it.Request}, QuotaVerdict::NotOwner);
     bucket.Queue.clear();
   }
   Queued = 0;
@@ -162,9 +173,10 @@
   return due;
 }
 
-void QuotaTable::reply(VmHandle to, RequestHandle request, QuotaVerdict verdict,
-                       Duration retryAfter) {
-  Out.push_back({to, {request, verdict, retryAfter}});
+void QuotaTable::reply(VmHandle to, const QuotaRequest &request,
+                       QuotaVerdict verdict, Duration retryAfter) {
+  Out.push_back(
+      {to, {request.Workspace, request.Request, verdict, retryAfter}});
 }
 
 } // namespace guavasail
--- a/src/quota.h
+++ b/src/quota.h
@@ -63,6 +63,9 @@
   [[nodiscard]] QuotaReply acquireLocal(const QuotaRequest &request,
                                         Instant now);
 
+  /// Takes back the token of a request that was admitted and has not run.
+  void returnToken(const QuotaReturn &unused, Instant now);
+
   /// Gives up ownership: replies `NotOwner` to all waiting requests.
   void resign();
 
@@ -94,7 +97,7 @@
   [[nodiscard]] Duration timeUntilTokens(const Bucket &bucket,
                                          double tokens) const;
   void admitWaiting(Bucket &bucket, Instant now);
-  void reply(VmHandle to, RequestHandle request, QuotaVerdict verdict,
+  void reply(VmHandle to, const QuotaRequest &request, QuotaVerdict verdict,
              Duration retryAfter = {});
 
   std::vector<Bucket> Buckets;
--- a/src/reducer_quota.cpp
+++ b/src/reducer_quota.cpp
@@ -61,10 +61,14 @@
                                 Step &step) {
   Request *request = Requests.find(reply.Request);
   if (!request || request->Phase != RequestPhase::AwaitingAdmission ||
-      request->AskedVm != from)
+      request->AskedVm != from) {
+    if (reply.Verdict == QuotaVerdict::Admitted)
+      returnToken(from, {reply.Workspace, reply.Request}, step);
     return;
+  }
   switch (reply.Verdict) {
   case QuotaVerdict::Admitted:
+    request->TokenGranter = from;
     request->Phase = RequestPhase::AttemptRunning;
     return beginRun(*request, step);
   case QuotaVerdict::Refused:
@@ -72,25 +76,46 @@
   case QuotaVerdict::NotOwner:
     skipOwner(from, step);
     if (++request->OwnerFailures > 1 || from == Members.view().Self)
-      return onQuotaReply(
-          Quotas.acquireLocal(
-              {rendezvousKey(Catalog.name(request->Workspace), 0),
-               request->Self},
-              step.Now),
-          from, step);
+      return admitLocally(*request, step);
     return requestQuota(*request, step);
   }
 }
 
+/// Admits or refuses a request whose workspace has no owner that replies.
+void ReducerState::admitLocally(Request &request, Step &step) {
+  uint64_t key = rendezvousKey(Catalog.name(request.Workspace), 0);
+  QuotaReply reply = Quotas.acquireLocal({key, request.Self}, step.Now);
+  if (reply.Verdict == QuotaVerdict::Refused)
+    return refuse(request, RefusalKind::RateExceeded, step, reply.RetryAfter);
+  request.Phase = RequestPhase::AttemptRunning;
+  beginRun(request, step);
+}
+
 void ReducerState::onQuotaTimeout(const Timer &timer, Step &step) {
   Request *request = Requests.find(timer.Attempt.Request);
   if (!request || request->Phase != RequestPhase::AwaitingAdmission)
     return;
   reportDecision(DecisionKind::OwnerSilent, *request, step);
   noteOwnerTimeout(request->AskedVm, step);
-  uint64_t key = rendezvousKey(Catalog.name(request->Workspace), 0);
-  onQuotaReply(Quotas.acquireLocal({key, request->Self}, step.Now),
-               request->AskedVm, step);
+  admitLocally(*request, step);
+}
+
+void ReducerState::returnToken(VmHandle granter, const QuotaReturn &unused,
+                               Step &step) {
+  if (granter != Members.view().Self) {
+    step.Effects.push(SendPeer{granter, unused});
+    return;
+  }
+  Quotas.returnToken(unused, step.Now);
+  flushQuotas(step);
+}
+
+/// Returns the token of a request that ends without having run.
+void ReducerState::returnUnusedToken(const Request &request, Step &step) {
+  if (!request.TokenGranter.valid() || request.MayHaveRun)
+    return;
+  uint64_t key = rendezvousKey(Catalog.name(request.Workspace), 0);
+  returnToken(request.TokenGranter, {key, request.Self}, step);
 }
 
 void ReducerState::flushQuotas(Step &step) {
@@ -116,6 +141,11 @@
   flushQuotas(step);
 }
 
+void ReducerState::onPeer(VmHandle, const QuotaReturn &message, Step &step) {
+  Quotas.returnToken(message, step.Now);
+  flushQuotas(step);
+}
+
 void ReducerState::onPeer(VmHandle from, const QuotaReply &message,
                           Step &step) {
   noteOwnerReply(from);
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -124,6 +124,7 @@
   settleClaim(request,
               request.MayHaveRun ? RecordState::Unknown : RecordState::Released,
               {}, step);
+  returnUnusedToken(request, step);
   Requests.close(request);
   endDrainIfIdle(step);
 }
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -151,11 +151,15 @@
   // Rates by the owners of workspaces (reducer_quota.cpp).
   void onPeer(VmHandle from, const QuotaRequest &message, Step &step);
   void onPeer(VmHandle from, const QuotaReply &message, Step &step);
+  void onPeer(VmHandle from, const QuotaReturn &message, Step &step);
   void updateQuotaLimits(Step &step);
   void updateQuotaShares(uint32_t listed, uint32_t alive, Instant now);
   void requestQuota(Request &request, Step &step);
   void onQuotaReply(const QuotaReply &reply, VmHandle from, Step &step);
+  void returnToken(VmHandle granter, const QuotaReturn &unused, Step &step);
+  void returnUnusedToken(const Request &request, Step &step);
   void flushQuotas(Step &step);
+  void admitLocally(Request &request, Step &step);
   void onQuotaTimeout(const Timer &timer, Step &step);
 
   // Lifecycle of this VM in the fleet (reducer_request.cpp).
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -62,6 +62,8 @@
   bool Keyed = false;
   /// Owner VM that was asked for an instance or a rate decision.
   VmHandle AskedVm;
+  /// VM that granted the rate token of the request, invalid if none did.
+  VmHandle TokenGranter;
   /// Owners that did not reply or refused ownership.
   uint32_t OwnerFailures = 0;
   /// VM that most recently did not reply.
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -62,6 +62,15 @@
     post(CatalogAccepted{&Catalog});
   }
 
+  /// Applies a catalog with a workspace that may run one request a second.
+  void addLimitedWorkspace() {
+    WorkspaceSpec &workspace = Catalog.Workspaces.emplace_back();
+    workspace.Name = "w";
+    workspace.RatePerSecond = workspace.Burst = 1;
+    workspace.Keys.push_back({"k", WorkspaceKey});
+    post(CatalogAccepted{&Catalog});
+  }
+
   /// Applies a catalog in which the first instance was restarted.
   void restartInstance() {
     Catalog.Services[0].Instances[0].Started = 9;
@@ -103,8 +112,12 @@
         }));
   }
 
-  void arrive(uint32_t number, std::string_view path) {
+  /// The key of the workspace that `addLimitedWorkspace` adds.
+  static constexpr Digest WorkspaceKey{{1}};
+
+  void arrive(uint32_t number, std::string_view path, const Digest &key = {}) {
     RequestArrived event;
+    event.Key = key;
     event.Request = {number, 1};
     event.Path = path;
     event.Repeat = Repeatability::Idempotent;
@@ -665,6 +678,75 @@
                            return std::string(it.param.Name);
                          });
 
+/// How the only request of a workspace's token ends. A token that is not
+/// returned by a request that has not run refuses callers inside their rate.
+struct TokenCase {
+  std::string_view Name;
+  void (*End)(PlacementFixture &fixture);
+  bool Returned;
+};
+
+void leaveWhileQueued(PlacementFixture &fixture) {
+  fixture.post(CallerDisconnected{{2, 1}});
+}
+
+void leaveAfterRejection(PlacementFixture &fixture) {
+  AttemptResponded event;
+  event.Attempt = fixture.last<StartAttempt>(2)->Attempt;
+  event.Status = 503;
+  event.Shed = true;
+  fixture.post(event);
+  fixture.post(CallerDisconnected{{2, 1}});
+}
+
+void leaveWhileRunning(PlacementFixture &fixture) {
+  fixture.post(CallerDisconnected{{2, 1}});
+}
+
+void complete(PlacementFixture &fixture) {
+  AttemptHandle attempt = fixture.last<StartAttempt>(2)->Attempt;
+  fixture.answer(*fixture.last<StartAttempt>(2), 200);
+  fixture.post(AttemptCompleted{attempt, 0, {}});
+}
+
+void loseConnection(PlacementFixture &fixture) {
+  AttemptHandle attempt = fixture.last<StartAttempt>(2)->Attempt;
+  fixture.post(AttemptFailed{attempt, AttemptFault::Reset, true, false});
+}
+
+const TokenCase TokenCases[] = {
+    {"LeftWhileQueued", &leaveWhileQueued, true},
+    {"LeftAfterRejection", &leaveAfterRejection, true},
+    {"LeftWhileRunning", &leaveWhileRunning, false},
+    {"Completed", &complete, false},
+    {"LostConnection", &loseConnection, false},
+};
+
+std::ostream &operator<<(std::ostream &out, const TokenCase &row) {
+  return out << row.Name;
+}
+
+class TokenReturn : public testing::TestWithParam<TokenCase> {};
+
+TEST_P(TokenReturn, AdmitsAnotherRequestIfTheFirstHasNotRun) {
+  PlacementFixture fixture(1);
+  fixture.addLimitedWorkspace();
+  // An anonymous request occupies the only slot.
+  if (GetParam().End == &leaveWhileQueued)
+    fixture.arrive(1, "/unsafe/x");
+  fixture.arrive(2, "/unsafe/x", PlacementFixture::WorkspaceKey);
+  GetParam().End(fixture);
+  fixture.arrive(3, "/unsafe/x", PlacementFixture::WorkspaceKey);
+  auto refusal = fixture.last<RefuseRequest>(3);
+  bool overRate = refusal && refusal->Kind == RefusalKind::RateExceeded;
+  EXPECT_EQ(overRate, !GetParam().Returned);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, TokenReturn, testing::ValuesIn(TokenCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 TEST(Splits, FollowWeights) {
   CatalogSpec spec;
   spec.Services.emplace_back().Name = "s";
