--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 [ -f build/compile_commands.json ] || scripts/build.sh build
 git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run --Werror
-git ls-files '*.cpp' | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build 2>/dev/null
+git ls-files '*.cpp' | xargs -P "$(nproc)" -n 1 scripts/tidy.sh build
