Place requests evenly among instances with stale load data

Effect on callers: with the placement `even` no instance gets much more than its part while others are idle; the default stays `spread`.

Cause: zone, connection and staleness costs outweigh one or two requests in progress, and single long responses count as slowness, so instances are filled in turns.

Change: `LoadEstimate` corrects reports by own requests and age and keeps a relative speed and the work granted lately. `PlacementKind::Even` chooses the least expected completion and raises the cost of instances fuller than the mean; while many requests fail, `Spread` decides. `PlacementKind::TwoRandom` takes over while other VMs place more requests than this one. The costs of `Spread` are split into functions and unchanged but for the order of the sum.

--- a/include/guavasail/dispatch.h
+++ b/include/guavasail/dispatch.h
@@ -26,6 +26,11 @@
   /// As `Weighed`; while many requests of the service fail, instances without
   /// a recent request cost less, so that no healthy one is left out.
   Spread,
+  /// The least expected completion time. Zones and connections count while the
+  /// instance is no fuller than the mean. As `Spread` while many requests fail.
+  Even,
+  /// The better of two random instances, for VMs that decide independently.
+  TwoRandom,
 };
 
 /// How long ejected instances get no request.
--- a/src/dispatch_health.h
+++ b/src/dispatch_health.h
@@ -51,6 +51,9 @@
   /// the service, at least 1.
   [[nodiscard]] double slowdown(Instant now) const;
 
+  /// \returns an upper bound of `slowdown`, at less cost.
+  [[nodiscard]] double maxSlowdown() const { return Slowdown; }
+
   /// \returns when the latest successful request was sent.
   [[nodiscard]] Instant lastSuccessSentAt() const { return LastSuccessSentAt; }
 
--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstddef>
 #include <functional>
+#include <numbers>
 
 namespace guavasail {
 
@@ -54,6 +56,27 @@
 /// Using the last slot of an instance slows down its other requests.
 constexpr double NearlyFullCost = 0.25;
 constexpr double NearlyFullLoad = 0.8;
+/// Share of the difference in speed that counts. With all of it, instances
+/// would be busy in proportion to the square of their speed.
+constexpr double SpeedShare = 0.25;
+/// Slowdown up to which only the relative speed counts: single long requests
+/// cause a smaller one.
+constexpr double UsualSlowdown = 2;
+/// Cost of the load above the mean. One request above it in 4 slots costs more
+/// than another zone and a new connection together.
+constexpr double FullerCost = 4;
+/// Cost of the work granted lately above the mean, relative to it, beyond the
+/// tolerance.
+constexpr double AheadCost = 3;
+constexpr double AheadTolerance = 0.05;
+/// Least mean of the work granted lately that is compared, in requests for each
+/// slot.
+constexpr double MinComparedWork = 0.05;
+/// Instances whose costs differ by less are equally good.
+constexpr double NearlyEqualCost = 0.02;
+/// Time between two updates of the estimates.
+constexpr Duration EstimateAgeInterval = std::chrono::milliseconds(100);
+
 /// Below the cost of any instance.
 constexpr double MinCost = -10;
 
@@ -92,6 +115,27 @@
 constexpr int OverdueFactor = 3;
 constexpr Duration MinOverdueTime = std::chrono::milliseconds(700);
 
+/// \returns true if a request would probe \p instance. Probes come first, or
+/// the instance would never be used again.
+bool isProbe(const PoolInstance &instance, const PlacementInput &input,
+             Instant now) {
+  return instance.Health.state(now) == EjectionState::Probing &&
+         input.Idempotent && !input.Retry;
+}
+
+/// \returns the requests in progress on \p instance over its slots.
+double expectedLoad(const PoolInstance &instance, Instant now) {
+  return (static_cast<double>(instance.Grants.size()) +
+          instance.Estimate.others(now)) /
+         instance.Slots;
+}
+
+/// \returns true if an instance has not run a request that ended so.
+bool hasNotRun(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::Unused ||
+         outcome == AttemptOutcome::Unreachable;
+}
+
 /// \returns a value from 0 to 1 that grows with the time since the last
 /// success.
 double staleness(Duration age) {
@@ -106,6 +150,8 @@
      &DispatchPool::chooseLeastLoaded},
     {PlacementKind::Weighed, "weighed", &DispatchPool::chooseWeighed},
     {PlacementKind::Spread, "spread", &DispatchPool::chooseSpread},
+    {PlacementKind::Even, "even", &DispatchPool::chooseEven},
+    {PlacementKind::TwoRandom, "two-random", &DispatchPool::chooseTwoRandom},
 };
 
 void DispatchPool::acceptCatalog(const CatalogIndex &catalog,
@@ -250,6 +296,7 @@
   }
   if (Candidates.empty())
     return nullptr;
+  ageEstimates(now);
   const Strategy &strategy = Strategies[static_cast<size_t>(Placement)];
   return (this->*strategy.Choose)(input, now);
 }
@@ -281,21 +328,36 @@
 double DispatchPool::placementCost(const PoolInstance &instance,
                                    const PlacementInput &input,
                                    Instant now) const {
-  double used = load(instance, now);
-  double sum = used + 1.0 / instance.Slots;
+  double sum = load(instance, now) + 1.0 / instance.Slots;
   if (sum > NearlyFullLoad)
     sum += NearlyFullCost;
+  sum += preferenceCost(instance, input, now);
+  sum += (instance.Health.slowdown(now) - 1) * SlowdownCost;
+  return sum + healthCost(instance, input, now);
+}
+
+/// \returns the cost of the zone, of a new connection and of the time since the
+/// last success.
+double DispatchPool::preferenceCost(const PoolInstance &instance,
+                                    const PlacementInput &input,
+                                    Instant now) const {
+  double sum = 0;
   if (instance.Zone != input.Zone)
     sum += input.Large ? RemoteZoneLargeCost : RemoteZoneCost;
   bool connected =
       input.Vm.Value < instance.UsedAt.size() &&
       now - instance.UsedAt[input.Vm.Value] < IdleConnectionLifetime;
   sum += connected ? 0 : ColdConnectionCost;
-  sum += instance.Cold ? ColdInstanceCost : 0;
+  return sum + staleness(now - instance.Health.lastSuccessSentAt()) *
+                   (input.Retry ? RetryStalenessCost : StalenessCost);
+}
+
+/// \returns the cost of failures, missing responses and a cold start.
+double DispatchPool::healthCost(const PoolInstance &instance,
+                                const PlacementInput &input,
+                                Instant now) const {
+  double sum = instance.Cold ? ColdInstanceCost : 0;
   sum += instance.Health.failureWeight(now) * FailureCost;
-  sum += (instance.Health.slowdown(now) - 1) * SlowdownCost;
-  sum += staleness(now - instance.Health.lastSuccessSentAt()) *
-         (input.Retry ? RetryStalenessCost : StalenessCost);
   sum += instance.Key == input.Avoid ? AvoidCost : 0;
   sum += lateCost(instance, now);
   if (instance.Health.state(now) == EjectionState::Ejected)
@@ -357,6 +419,120 @@
   });
 }
 
+DispatchPool::PoolMean DispatchPool::meanOfCandidates(Instant now) const {
+  PoolMean mean;
+  for (const PoolInstance *it : Candidates) {
+    double part = 1.0 / it->Slots;
+    mean.Own += static_cast<double>(it->Grants.size()) * part;
+    mean.Others += it->Estimate.others(now) * part;
+    mean.RecentWork += it->Estimate.recentWork() * part;
+  }
+  auto count = static_cast<double>(Candidates.size());
+  mean.Own /= count;
+  mean.Others /= count;
+  mean.RecentWork /= count;
+  mean.Load = mean.Own + mean.Others;
+  return mean;
+}
+
+/// \returns the expected completion time of a request, relative to that on the
+/// last slot of an instance of typical speed, and the costs that both
+/// `Even` and `TwoRandom` have.
+/// \param fullness requests in progress over slots.
+double DispatchPool::completionCost(const PoolInstance &instance,
+                                    const PlacementInput &input,
+                                    double fullness, Instant now) const {
+  double sum = fullness + 1.0 / instance.Slots;
+  bool nearlyFull = sum > NearlyFullLoad;
+  sum *= 1 + SpeedShare * (instance.Estimate.relativeTime() - 1);
+  sum += nearlyFull ? NearlyFullCost : 0;
+  sum += preferenceCost(instance, input, now);
+  if (instance.Health.maxSlowdown() > UsualSlowdown)
+    sum += std::max(instance.Health.slowdown(now) - UsualSlowdown, 0.0) *
+           SlowdownCost;
+  return sum + healthCost(instance, input, now);
+}
+
+double DispatchPool::evenCost(const PoolInstance &instance,
+                              const PlacementInput &input, const PoolMean &mean,
+                              Instant now) const {
+  double fullness = expectedLoad(instance, now);
+  double sum = completionCost(instance, input, fullness, now) +
+               FullerCost * std::max(fullness - mean.Load, 0.0);
+  if (mean.RecentWork < MinComparedWork)
+    return sum;
+  double ahead =
+      instance.Estimate.recentWork() / (instance.Slots * mean.RecentWork) - 1;
+  return sum + AheadCost * std::max(ahead - AheadTolerance, 0.0);
+}
+
+PoolInstance *DispatchPool::chooseEven(const PlacementInput &input,
+                                       Instant now) {
+  // Balance matters less than using all sound instances.
+  if (now < ManyFailUntil)
+    return chooseSpread(input, now);
+  PoolMean mean = meanOfCandidates(now);
+  // Several VMs place requests of the service at present, and all would choose
+  // the same instances.
+  if (mean.Others > mean.Own)
+    return chooseTwoRandom(input, now);
+  double lowest = 0;
+  Costs.resize(Candidates.size());
+  for (size_t n = 0; n < Candidates.size(); ++n) {
+    const PoolInstance &it = *Candidates[n];
+    Costs[n] =
+        isProbe(it, input, now) ? MinCost : evenCost(it, input, mean, now);
+    lowest = n == 0 ? Costs[n] : std::min(lowest, Costs[n]);
+  }
+  size_t n = Random() % Candidates.size();
+  while (Costs[n] > lowest + NearlyEqualCost)
+    n = (n + 1) % Candidates.size();
+  return Candidates[n];
+}
+
+PoolInstance *DispatchPool::chooseTwoRandom(const PlacementInput &input,
+                                            Instant now) {
+  PoolInstance *first = Candidates[Random() % Candidates.size()];
+  PoolInstance *second = Candidates[Random() % Candidates.size()];
+  auto cost = [&](const PoolInstance &it) {
+    return isProbe(it, input, now)
+               ? MinCost
+               : completionCost(it, input, expectedLoad(it, now), now);
+  };
+  return cost(*second) < cost(*first) ? second : first;
+}
+
+/// Ages the estimates of all instances.
+void DispatchPool::ageEstimates(Instant now) {
+  Duration age = now - EstimatesAgedAt;
+  if (age < EstimateAgeInterval)
+    return;
+  EstimatesAgedAt = now;
+  AgeFactors factors = ageFactors(age);
+  for (PoolInstance &it : Instances)
+    it.Estimate.age(factors);
+}
+
+std::optional<LoadSummary> DispatchPool::loadSummary(Instant now) const {
+  LoadSummary loads;
+  double count = 0;
+  for (const PoolInstance &it : Instances) {
+    if (!it.isInService())
+      continue;
+    double load = it.Estimate.recentWork() / it.Slots;
+    loads.Busiest = std::max(loads.Busiest, load);
+    loads.Mean += load;
+    ++count;
+  }
+  double aged = ageFactors(now - EstimatesAgedAt).Work;
+  if (count == 0 || aged * loads.Mean / count < MinComparedWork)
+    return std::nullopt;
+  // Work that arrives at a steady rate adds up to that of this time.
+  double total = inSeconds(RecentWorkHalfLife) / std::numbers::ln2;
+  double factor = aged * inSeconds(TypicalLatency) / total;
+  return LoadSummary{loads.Busiest * factor, loads.Mean * factor / count};
+}
+
 template <typename Cost>
 PoolInstance *DispatchPool::chooseCheapest(const PlacementInput &input,
                                            Instant now, const Cost &cost) {
@@ -366,10 +542,7 @@
   double lowestCost = 0;
   for (size_t n = 0; n < Candidates.size(); ++n) {
     PoolInstance *it = Candidates[(start + n) % Candidates.size()];
-    // Probes come first, or the instance would never be used again.
-    bool probe = it->Health.state(now) == EjectionState::Probing &&
-                 input.Idempotent && !input.Retry;
-    double candidateCost = probe ? MinCost : cost(*it);
+    double candidateCost = isProbe(*it, input, now) ? MinCost : cost(*it);
     if (best && candidateCost >= lowestCost)
       continue;
     best = it;
@@ -381,6 +554,7 @@
 void DispatchPool::occupySlot(PoolInstance &instance, const SlotGrant &grant) {
   instance.Grants.push_back(grant);
   instance.LastGrantAt = grant.GrantedAt;
+  instance.Estimate.noteGrant();
   if (!grant.Vm.valid())
     return;
   if (grant.Vm.Value >= instance.UsedAt.size())
@@ -444,6 +618,7 @@
   if (!instance)
     return false;
   bool wasOverdue = false;
+  auto own = static_cast<uint32_t>(instance->Grants.size());
   size_t freed = std::erase_if(instance->Grants, [&](const SlotGrant &it) {
     bool released =
         it.Vm == vm && it.Request == done.Request && it.Ordinal == done.Ordinal;
@@ -461,7 +636,10 @@
     noteHistory(
         1, wasOverdue ? 0 : HistoryFailures[static_cast<size_t>(done.Outcome)],
         now);
+  if (freed > 0 && hasNotRun(done.Outcome))
+    instance->Estimate.noteNotRun();
   if (done.Outcome == AttemptOutcome::Ok) {
+    instance->Estimate.noteResponse(done.Elapsed, TypicalLatency);
     Duration clipped =
         std::min(done.Elapsed, TypicalLatency * MaxLatencyFactor);
     TypicalLatency = std::max(MinTypicalLatency,
@@ -474,6 +652,9 @@
   if (done.LoadKnown) {
     instance->ReportedLoad = done.Running + done.Waiting;
     instance->ReportedAt = now;
+    // A rejection is no sign of load: instances with free slots may reject.
+    if (done.Outcome != AttemptOutcome::Shed)
+      instance->Estimate.noteReport(instance->ReportedLoad, own, now);
   }
   return freed > 0;
 }
@@ -486,6 +667,7 @@
 
 void DispatchPool::advance(Instant now) {
   updateBusyShare(now);
+  ageEstimates(now);
   Duration overdue = std::max(TypicalLatency * OverdueFactor, MinOverdueTime);
   for (PoolInstance &instance : Instances) {
     std::erase_if(instance.Grants, [&](const SlotGrant &it) {
--- a/src/dispatch_pool.h
+++ b/src/dispatch_pool.h
@@ -7,6 +7,7 @@
 #include "dispatch_health.h"
 #include "dispatch_history.h"
 #include "guavasail/dispatch.h"
+#include "load_estimate.h"
 
 #include <cstdint>
 #include <optional>
@@ -58,6 +59,7 @@
   /// Requests that the instance reported as running or waiting, and when.
   uint32_t ReportedLoad = 0;
   Instant ReportedAt{};
+  LoadEstimate Estimate;
   /// Gets no requests until then, because it refused one as full.
   Instant FullUntil{};
   /// When each VM last used the instance, by VM handle; the VM may still hold
@@ -89,6 +91,13 @@
   bool Backlogged = false;
 };
 
+/// Load of the instances of a service, averaged over the last seconds, as the
+/// share of their slots in use.
+struct LoadSummary {
+  double Busiest = 0;
+  double Mean = 0;
+};
+
 /// Chooses instances and tracks their slots.
 class DispatchPool {
 public:
@@ -141,6 +150,10 @@
   /// \returns true if at least one slot is in use.
   [[nodiscard]] bool isBusy() const;
 
+  /// \returns the load from the slots that this VM granted, nothing if it
+  /// granted none lately.
+  [[nodiscard]] std::optional<LoadSummary> loadSummary(Instant now) const;
+
   [[nodiscard]] std::span<const PoolInstance> instances() const {
     return Instances;
   }
@@ -159,6 +172,8 @@
   PoolInstance *chooseLeastLoaded(const PlacementInput &input, Instant now);
   PoolInstance *chooseWeighed(const PlacementInput &input, Instant now);
   PoolInstance *chooseSpread(const PlacementInput &input, Instant now);
+  PoolInstance *chooseEven(const PlacementInput &input, Instant now);
+  PoolInstance *chooseTwoRandom(const PlacementInput &input, Instant now);
   template <typename Cost>
   PoolInstance *chooseCheapest(const PlacementInput &input, Instant now,
                                const Cost &cost);
@@ -174,6 +189,28 @@
   [[nodiscard]] double placementCost(const PoolInstance &instance,
                                      const PlacementInput &input,
                                      Instant now) const;
+  /// Means of the usable instances, relative to their slots.
+  struct PoolMean {
+    double Load = 0;
+    double RecentWork = 0;
+    /// Shares of `Load` by requests of this VM and by those of others.
+    double Own = 0;
+    double Others = 0;
+  };
+  [[nodiscard]] PoolMean meanOfCandidates(Instant now) const;
+  [[nodiscard]] double evenCost(const PoolInstance &instance,
+                                const PlacementInput &input,
+                                const PoolMean &mean, Instant now) const;
+  [[nodiscard]] double completionCost(const PoolInstance &instance,
+                                      const PlacementInput &input,
+                                      double fullness, Instant now) const;
+  [[nodiscard]] double preferenceCost(const PoolInstance &instance,
+                                      const PlacementInput &input,
+                                      Instant now) const;
+  [[nodiscard]] double healthCost(const PoolInstance &instance,
+                                  const PlacementInput &input,
+                                  Instant now) const;
+  void ageEstimates(Instant now);
   [[nodiscard]] double lateCost(const PoolInstance &instance,
                                 Instant now) const;
   [[nodiscard]] double unusedBonus(const PoolInstance &instance,
@@ -194,6 +231,9 @@
   /// Positions in `Instances` by key.
   std::unordered_map<uint64_t, size_t> PositionOfKey;
   std::vector<PoolInstance *> Candidates;
+  /// Costs of `Candidates`, in the same order.
+  std::vector<double> Costs;
+  Instant EstimatesAgedAt{};
   static constexpr double NoThreshold = -1;
   /// Failure weights of the ejected instances, and the weight up to which an
   /// ejected instance is used anyway to keep `MinInUsePercent`.
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -274,6 +274,14 @@
     scheduleCheck(now);
 }
 
+std::optional<LoadSummary> Dispatcher::loadSummary(uint64_t key,
+                                                   Instant now) const {
+  for (const Service &it : Services)
+    if (it.Key == key)
+      return it.Pool.loadSummary(now);
+  return std::nullopt;
+}
+
 size_t Dispatcher::waiting() const {
   size_t n = 0;
   for (const Service &it : Services)
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -11,6 +11,7 @@
 #include "guavasail/dispatch.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <span>
 #include <string_view>
@@ -87,6 +88,11 @@
 
   [[nodiscard]] size_t waiting() const;
 
+  /// \returns the load of the service with \p key, nothing if this VM has
+  /// granted none of its slots lately.
+  [[nodiscard]] std::optional<LoadSummary> loadSummary(uint64_t key,
+                                                       Instant now) const;
+
 private:
   struct Service {
     Service(const DispatchInit &init, uint64_t key)
