Select the placement in the settings and show imbalance in the metrics

Effect on operators: `fleet.placement` is "spread" (default) or "even"; other values are refused with their line. The metrics text has the load of the busiest instance and the mean load of each service on which the VM has granted slots lately.

Cause: an operator could neither select a placement nor see imbalance.

Evidence: the settings had no such key, and the metrics no load.

--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -128,6 +128,8 @@
   bool AdmitDuringOutage = true;
   /// Lease time of this VM's entry in the list of VMs.
   Duration Lease = std::chrono::seconds(8);
+  /// "spread" or "even", see `PlacementKind`.
+  std::string Placement = "spread";
 };
 
 /// Everything in a settings file.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "record_assignment.h"
 #include "reducer_state.h"
+#include "rendezvous.h"
 
 #include <algorithm>
 #include <array>
@@ -101,6 +102,8 @@
         self.Incarnation > 0 ? self.Incarnation : startIncarnation();
   const FleetSettings &fleet = settings.Fleet;
   init.Fleet = fleet.Mode == "owners" ? FleetKind::Owners : FleetKind::Alone;
+  if (fleet.Placement == "even")
+    init.Dispatch.Placement = PlacementKind::Even;
   init.Dispatch.RetryPercent = fleet.RetryPercent;
   init.Dispatch.RetrySlack = fleet.RetrySlack;
   init.Dispatch.RetryWindow = fleet.RetryWindow;
@@ -402,6 +405,7 @@
   line("requests_open", state.Requests.open());
   line("requests_waiting", state.Dispatch.waiting());
   line("config_version", state.Catalog.version());
+  appendServiceLoads(text);
   if (Store) {
     line("store_calls", Store->stats().Calls);
     line("store_failures", Store->stats().Failures);
@@ -415,6 +419,26 @@
   return text;
 }
 
+/// Appends the load of each service on which this VM has granted slots lately.
+void Daemon::appendServiceLoads(std::string &text) const {
+  const ReducerState &state = Decisions.state();
+  for (uint32_t n = 0; n < state.Catalog.services().size(); ++n) {
+    std::string_view service = state.Catalog.name(ServiceHandle{n});
+    auto loads =
+        state.Dispatch.loadSummary(rendezvousKey(service, 0), bootTime());
+    if (!loads)
+      continue;
+    auto line = [&](std::string_view name, double load) {
+      constexpr double Hundred = 100;
+      text.append("guavasail_").append(name).append("{service=\"");
+      text.append(service).append("\"} ");
+      text.append(std::to_string(std::llround(load * Hundred))).append("\n");
+    };
+    line("service_busiest_load_percent", loads->Busiest);
+    line("service_mean_load_percent", loads->Mean);
+  }
+}
+
 void Daemon::on(const ConfigActivated &effect) {
   auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(effect.MarkAge);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -60,6 +60,7 @@
   StartFault startFront();
   bool startLibrary();
   std::string metricsText() const;
+  void appendServiceLoads(std::string &text) const;
 
   void on(const StartAttempt &effect);
   void on(const CancelAttempt &effect);
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -67,6 +67,11 @@
   return text == "alone" || text == "owners";
 }
 
+/// \returns true if \p text is a placement that settings may select.
+inline bool isPlacement(const std::string &text) {
+  return text == "spread" || text == "even";
+}
+
 /// \returns true if \p text is a positive decimal number of at most six
 /// characters, or empty.
 inline bool isCpuShare(const std::string &text) {
@@ -82,6 +87,8 @@
 inline constexpr StringRule EndpointRule = {&isEndpoint, "IP:PORT"};
 inline constexpr StringRule FleetModeRule = {&isFleetMode,
                                              "one of alone owners"};
+inline constexpr StringRule PlacementRule = {&isPlacement,
+                                             "one of spread even"};
 inline constexpr StringRule AddressRule = {&isIpAddress, "an IP number"};
 inline constexpr StringRule LogLevelRule = {&isLogLevel,
                                             "one of debug info warning error"};
@@ -160,6 +167,7 @@
     {"withdrawal_ms", &FleetSettings::MaxWithdrawalDelay, false, 1000},
     {"trust_outage", &FleetSettings::AdmitDuringOutage},
     {"lease_ms", &FleetSettings::Lease, false, 1000, 600000},
+    {"placement", &FleetSettings::Placement, false, 0, 0, &PlacementRule},
 });
 
 inline constexpr auto HeaderFields = std::to_array<Field<HeaderNames>>({
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -33,6 +33,8 @@
      "daemon.log_level"},
     {"LogFormat", "log_format = \"xml\"\n", SettingsFault::ValueOutOfRange, 3,
      "daemon.log_format"},
+    {"Placement", "[fleet]\nplacement = \"random\"\n",
+     SettingsFault::ValueOutOfRange, 4, "fleet.placement"},
     {"AddressIsHostName", "listen_address = \"localhost\"\n",
      SettingsFault::ValueOutOfRange, 3, "daemon.listen_address"},
     {"CertificateWithoutKey", "tls_certificate = \"c.pem\"\n",
