--- a/bench/bench_dispatch.cpp
+++ b/bench/bench_dispatch.cpp
@@ -1,18 +1,42 @@
 /// \file
 /// CPU time of placing a request by size of the service, load and share of
-/// failing instances. Virtual time, one owner.
+/// failing instances, and of a decision of the queue. Virtual time, one owner.
 #include "dispatcher.h"
 #include "rendezvous.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
+#include <cstdlib>
 #include <iostream>
+#include <new>
+#include <optional>
 #include <queue>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
+namespace {
+
+uint64_t AllocatedBytes = 0;
+
+} // namespace
+
+// Counts the bytes that are allocated.
+void *operator new(size_t size) {
+  AllocatedBytes += size;
+  if (void *memory = std::malloc(size))
+    return memory;
+  throw std::bad_alloc();
+}
+void operator delete(void *memory) noexcept { std::free(memory); }
+void operator delete(void *memory, size_t) noexcept { std::free(memory); }
+
 namespace guavasail {
 
 namespace {
@@ -157,11 +181,152 @@
   uint32_t Granted = 0;
 };
 
+/// The queue before fair queueing, as the baseline: it sorts all entries for
+/// each decision.
+class SortedQueue {
+public:
+  std::optional<Duration> checkAdmission(const QueueEntry &entry,
+                                         const QueueLoad &load, Instant now) {
+    auto ahead = static_cast<size_t>(
+        std::count_if(Entries.begin(), Entries.end(), [&](const auto &it) {
+          return it.ObjectiveDeadline >= now &&
+                 it.Placement.Rank <= entry.Placement.Rank;
+        }));
+    Duration wait = load.TypicalLatency * static_cast<int64_t>(ahead);
+    return now + wait / load.Slots <= entry.Deadline ? std::nullopt
+                                                     : std::optional(wait);
+  }
+  const QueueEntry *find(VmHandle vm, RequestHandle request, uint32_t ordinal) {
+    auto it = std::find_if(Entries.begin(), Entries.end(), [&](const auto &e) {
+      return e.Vm == vm && e.Placement.Request == request &&
+             e.Placement.Ordinal == ordinal;
+    });
+    return it == Entries.end() ? nullptr : &*it;
+  }
+  void push(QueueEntry entry) {
+    entry.Order = ++LastOrder;
+    Entries.push_back(entry);
+  }
+  std::span<const QueueEntry *const> head(const QueueLoad &, Instant now) {
+    Keys.clear();
+    for (const QueueEntry &it : Entries)
+      Keys.push_back({it.ObjectiveDeadline < now, it.Placement.Rank,
+                      served(it.Placement.Workspace), it.Order, &it});
+    std::partial_sort(Keys.begin(), Keys.begin() + 16, Keys.end());
+    First = std::get<4>(Keys[0]);
+    return {&First, 1};
+  }
+  QueueEntry takeServed(const QueueEntry &entry) {
+    QueueEntry out = entry;
+    Entries.erase(Entries.begin() + (&entry - Entries.data()));
+    for (auto &[workspace, count] : Shares)
+      count *= std::exp2(-1e-3);
+    auto it = lowerBound(out.Placement.Workspace);
+    if (it != Shares.end() && it->first == out.Placement.Workspace) {
+      it->second += 1;
+      return out;
+    }
+    if (Shares.size() >= 64)
+      Shares.erase(std::min_element(
+          Shares.begin(), Shares.end(),
+          [](const auto &a, const auto &b) { return a.second < b.second; }));
+    Shares.insert(lowerBound(out.Placement.Workspace),
+                  {out.Placement.Workspace, 1});
+    return out;
+  }
+
+private:
+  using Share = std::pair<uint64_t, double>;
+  std::vector<Share>::iterator lowerBound(uint64_t workspace) {
+    return std::lower_bound(
+        Shares.begin(), Shares.end(), workspace,
+        [](const Share &it, uint64_t wanted) { return it.first < wanted; });
+  }
+  double served(uint64_t workspace) {
+    auto it = lowerBound(workspace);
+    return it != Shares.end() && it->first == workspace ? it->second : 0;
+  }
+
+  std::vector<QueueEntry> Entries;
+  std::vector<std::tuple<bool, uint32_t, double, uint64_t, const QueueEntry *>>
+      Keys;
+  std::vector<Share> Shares;
+  const QueueEntry *First = nullptr;
+  uint64_t LastOrder = 0;
+};
+
+struct QueueCost {
+  double Nanoseconds;
+  double Bytes;
+  /// Bytes allocated to fill the queue.
+  double FillBytes;
+};
+
+/// Admits one request and serves one, over and over, with \p waiting others.
+template <typename Queue>
+QueueCost queueCost(Queue queue, uint32_t workspaces, uint32_t waiting,
+                    uint32_t decisions) {
+  std::mt19937_64 random(1);
+  QueueLoad load{ServiceTime, 4000};
+  Instant now{std::chrono::seconds(1000)};
+  uint32_t number = 0;
+  auto admit = [&] {
+    QueueEntry entry;
+    entry.Vm = {static_cast<uint32_t>(random() % VmCount)};
+    entry.Placement.Request = {++number, 1};
+    entry.Placement.Ordinal = 1;
+    entry.Placement.Workspace = random() % workspaces + 1;
+    entry.ObjectiveDeadline = now + Objective;
+    entry.Deadline = now + Deadline;
+    if (queue.find(entry.Vm, entry.Placement.Request, 1) ||
+        queue.checkAdmission(entry, load, now))
+      std::abort();
+    queue.push(entry);
+  };
+  uint64_t before = AllocatedBytes;
+  while (number < waiting)
+    admit();
+  double fillBytes = static_cast<double>(AllocatedBytes - before);
+  before = AllocatedBytes;
+  auto started = std::chrono::steady_clock::now();
+  for (uint32_t n = 0; n < decisions; ++n) {
+    now += std::chrono::microseconds(75);
+    admit();
+    queue.takeServed(*queue.head(load, now)[0]);
+  }
+  std::chrono::duration<double, std::nano> elapsed =
+      std::chrono::steady_clock::now() - started;
+  return {elapsed.count() / decisions,
+          static_cast<double>(AllocatedBytes - before) / decisions, fillBytes};
+}
+
+void printQueueCosts(uint32_t workspaces) {
+  constexpr uint32_t Waiting = 4096;
+  QueueCost cost =
+      queueCost(DispatchQueue(QueueKind::Useful), workspaces, Waiting, 200000);
+  QueueCost baseline = queueCost(SortedQueue(), workspaces, Waiting, 4000);
+  std::string name = "queue." + std::to_string(workspaces) + "-workspaces.";
+  std::cout << name << "cost " << cost.Nanoseconds << " ns/decision\n"
+            << name << "sorted-cost " << baseline.Nanoseconds
+            << " ns/decision\n"
+            << name << "speedup " << baseline.Nanoseconds / cost.Nanoseconds
+            << " times\n"
+            << name << "allocated " << cost.Bytes << " bytes/decision\n"
+            << name << "sorted-allocated " << baseline.Bytes
+            << " bytes/decision\n"
+            << name << "memory " << cost.FillBytes / Waiting
+            << " bytes/waiting\n"
+            << name << "sorted-memory " << baseline.FillBytes / Waiting
+            << " bytes/waiting" << std::endl;
+}
+
 } // namespace
 
 } // namespace guavasail
 
 int main() {
+  for (uint32_t workspaces : {86, 27000})
+    guavasail::printQueueCosts(workspaces);
   for (const guavasail::LoadCase &loadCase : guavasail::LoadCases)
     guavasail::Simulation(loadCase).run();
 }
