Evacuate zones and bound the requests of cold instances

Effect on callers: while `op/evacuate/ZONE` is in the store, no request goes to an instance of that zone; a service without another zone answers 503 with Retry-After. Instances of services with a warm-up rate get no more requests a second than they survive while cold, in fleets that set `warmup_overshoot`; requests above that wait. Other services and fleets keep their behaviour.

Cause: VMs did not read the operator's evacuations, and an owner filled all slots of an instance at once, also of one that had become cold.

Change: an `Evacuated` mark on instances and the warm-up of services, carried by chunks, patches and the peer codec; a changed set of zones makes a new version. The pool grants nothing on evacuated instances and returns their slots in five steps; the VM checks the mark again before it sends. `StartLimit` counts starts in a window of 1.2 s, with a token bucket for known cold instances, a half-used first window for a new owner and a part for VMs without an owner. The dispatcher's check is due when the next start is allowed.

--- a/include/guavasail/catalog.h
+++ b/include/guavasail/catalog.h
@@ -29,6 +29,8 @@
   bool Leaving = false;
   /// The instance started recently and is still warming up.
   bool Cold = false;
+  /// The operator evacuates the instance's zone; it gets no requests.
+  bool Evacuated = false;
 
   friend bool operator==(const InstanceSpec &, const InstanceSpec &) = default;
 };
@@ -39,6 +41,10 @@
   /// Minimum share of the instances that ejection leaves in use, in percent.
   uint32_t FloorPercent = 50;
   std::vector<InstanceSpec> Instances;
+  /// Time for which an instance is cold after its start.
+  Duration Warmup{};
+  /// Requests per 1000 s that a cold instance can handle; 0 for no limit.
+  uint32_t WarmupPerKilosecond = 0;
 };
 
 /// Whether a request whose outcome is unknown may be sent again.
--- a/include/guavasail/dispatch.h
+++ b/include/guavasail/dispatch.h
@@ -56,6 +56,11 @@
   uint32_t RetryPercent = 20;
   uint32_t RetrySlack = 25;
   Duration RetryWindow = std::chrono::seconds(10);
+  /// Requests that a cold instance may get in any second, over all VMs: a
+  /// multiple of its service's warm-up rate plus a fixed number. A multiple of
+  /// 0 means no limit.
+  double WarmupOvershoot = 0;
+  uint32_t WarmupSlack = 0;
   uint64_t Seed = 1;
 };
 
--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -150,6 +150,12 @@
   Duration MarkAge{};
 };
 
+/// The evacuation of a zone began or ended on this VM.
+struct ZoneEvacuationChanged {
+  std::string_view Zone;
+  bool Evacuated = false;
+};
+
 /// The drain ended: no request is in progress, and the process may exit.
 struct DrainCompleted {};
 
@@ -158,7 +164,8 @@
                  AbortResponse, RefuseRequest, ReplayResponse, SendPeer,
                  MemberChanged, CallShareStore, StoreRead, StoreWrite,
                  StoreWatch, ChangeConcluded, AuditReply, DrainCompleted,
-                 ConfigActivated, RequestDecision, CallPresence, SendPeers>;
+                 ConfigActivated, RequestDecision, CallPresence, SendPeers,
+                 ZoneEvacuationChanged>;
 
 /// Collects effects and reuses its memory for each event.
 class EffectBuffer {
--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -121,6 +121,11 @@
   uint32_t RetryPercent = 20;
   uint32_t RetrySlack = 25;
   Duration RetryWindow = std::chrono::seconds(10);
+  /// Requests that a cold instance may get in any second, over all VMs: its
+  /// service's warm-up rate times `WarmupOvershoot`, a decimal number, plus
+  /// `WarmupSlack`. No limit if `WarmupOvershoot` is empty.
+  std::string WarmupOvershoot;
+  uint32_t WarmupSlack = 0;
   /// Time within which the accepted withdrawal of a key takes effect on all
   /// VMs.
   Duration MaxWithdrawalDelay = std::chrono::seconds(5);
--- a/src/catalog_index.cpp
+++ b/src/catalog_index.cpp
@@ -52,6 +52,8 @@
   ServiceHandle handle = ServiceNames.intern(spec.Name);
   ServiceEntry &entry = entryAt(Services, handle);
   entry.FloorPercent = spec.FloorPercent;
+  entry.Warmup = spec.Warmup;
+  entry.WarmupPerKilosecond = spec.WarmupPerKilosecond;
   entry.Present = true;
   for (const InstanceSpec &instance : spec.Instances)
     acceptInstance(handle, spec, instance);
--- a/src/catalog_index.h
+++ b/src/catalog_index.h
@@ -27,6 +27,8 @@
 
 struct ServiceEntry {
   uint32_t FloorPercent = 0;
+  Duration Warmup{};
+  uint32_t WarmupPerKilosecond = 0;
   std::vector<InstanceHandle> Instances;
   bool Present = false;
 };
--- a/src/config_chunks.cpp
+++ b/src/config_chunks.cpp
@@ -14,6 +14,10 @@
 /// Estimate for field names, quotes and numbers of one encoded entry.
 constexpr size_t EntryOverheadBytes = 96;
 
+bool hasWarmupFields(const ServiceSpec &spec) {
+  return spec.Warmup != Duration::zero() || spec.WarmupPerKilosecond != 0;
+}
+
 /// Hashes fields. Texts are prefixed with their length, so that different
 /// chunks never give the same input.
 class FieldHash {
@@ -39,12 +43,21 @@
     add(uint64_t{it.Slots});
     add(uint64_t{it.Connections});
     add(it.Started);
-    add(uint64_t{it.Leaving});
+    // Bits of one number, so that an instance without the later mark has the
+    // digest that earlier releases compute.
+    add(uint64_t{it.Leaving} | uint64_t{it.Evacuated} << 1);
     add(uint64_t{it.Cold});
   }
   void add(const ServiceSpec &it) {
     add(it.Name);
-    add(uint64_t{it.FloorPercent});
+    // As above: a service without a warm-up keeps its digest.
+    constexpr int WarmupBit = 32;
+    bool hasWarmup = hasWarmupFields(it);
+    add(uint64_t{it.FloorPercent} | uint64_t{hasWarmup} << WarmupBit);
+    if (hasWarmup) {
+      add(static_cast<uint64_t>(it.Warmup.count()));
+      add(uint64_t{it.WarmupPerKilosecond});
+    }
     addAll(it.Instances);
   }
   void add(const RouteSpec &it) {
@@ -186,6 +199,8 @@
 void diffService(const ServiceSpec &before, const ServiceSpec &after,
                  CatalogPatch &patch) {
   bool byInstance = before.FloorPercent == after.FloorPercent &&
+                    before.Warmup == after.Warmup &&
+                    before.WarmupPerKilosecond == after.WarmupPerKilosecond &&
                     hasOrderedInstances(before) && hasOrderedInstances(after);
   if (!byInstance) {
     if (specDigest(before) != specDigest(after))
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -104,6 +104,9 @@
   init.Dispatch.RetryPercent = fleet.RetryPercent;
   init.Dispatch.RetrySlack = fleet.RetrySlack;
   init.Dispatch.RetryWindow = fleet.RetryWindow;
+  if (!fleet.WarmupOvershoot.empty())
+    init.Dispatch.WarmupOvershoot = std::stod(fleet.WarmupOvershoot);
+  init.Dispatch.WarmupSlack = fleet.WarmupSlack;
   init.Dispatch.Seed = init.Seed;
   init.Presence.Enabled = init.UsesStore && fleet.PeerPort > 0;
   init.Presence.Lease = fleet.Lease;
@@ -423,6 +426,12 @@
            {"before", static_cast<int64_t>(effect.Before)},
            {"mark_age_ms", static_cast<int64_t>(age.count())}});
 }
+
+void Daemon::on(const ZoneEvacuationChanged &effect) {
+  logLine(LogLevel::Info, effect.Evacuated ? "zone-evacuated" : "zone-restored",
+          {{"zone", effect.Zone}});
+}
+
 void Daemon::on(const DrainCompleted &) {
   // Answers may still be on their way to callers.
   Drained = true;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -79,6 +79,7 @@
   void on(const AuditReply &effect);
   void on(const DrainCompleted &effect);
   void on(const ConfigActivated &effect);
+  void on(const ZoneEvacuationChanged &effect);
   void on(const RequestDecision &effect);
   void on(const CallPresence &effect);
 
--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -92,6 +92,12 @@
 constexpr int OverdueFactor = 3;
 constexpr Duration MinOverdueTime = std::chrono::milliseconds(700);
 
+/// Steps in which the slots of an instance come back after an evacuation: a
+/// fifth, two fifths and so on, then all.
+constexpr int64_t RestoreSteps = 5;
+/// Time of this return for services without a warm-up time.
+constexpr Duration DefaultRestoreTime = std::chrono::seconds(4);
+
 /// \returns a value from 0 to 1 that grows with the time since the last
 /// success.
 double staleness(Duration age) {
@@ -108,8 +114,17 @@
     {PlacementKind::Spread, "spread", &DispatchPool::chooseSpread},
 };
 
+void DispatchPool::setStartBounds(const StartBounds &bounds, Instant now) {
+  bool began = bounds.limited() && !Bounds.limited();
+  Bounds = bounds;
+  // Starts were not counted before.
+  for (PoolInstance &it : Instances)
+    if (began)
+      it.Starts.begin(now);
+}
+
 void DispatchPool::acceptCatalog(const CatalogIndex &catalog,
-                                 ServiceHandle service) {
+                                 ServiceHandle service, Instant now) {
   for (PoolInstance &instance : Instances)
     instance.Present = false;
   for (InstanceHandle it : catalog.at(service).Instances) {
@@ -117,6 +132,8 @@
     uint64_t key = rendezvousKey(catalog.name(it), 0);
     PoolInstance *instance = find(key);
     bool restarted = instance && instance->Started != entry.Spec.Started;
+    bool evacuated = instance && instance->Evacuated;
+    bool isNew = !instance || restarted;
     if (!instance) {
       PositionOfKey.emplace(key, Instances.size());
       instance = &Instances.emplace_back();
@@ -130,6 +147,10 @@
     instance->Present = true;
     instance->Leaving = entry.Spec.Leaving;
     instance->Cold = entry.Spec.Cold;
+    instance->Evacuated = entry.Spec.Evacuated;
+    noteEvacuation(*instance, evacuated, catalog.at(service).Warmup, now);
+    if (isNew)
+      instance->Starts.begin(now);
   }
   size_t erased = std::erase_if(Instances, [](const PoolInstance &it) {
     return !it.Present && it.Grants.empty();
@@ -146,9 +167,74 @@
   return it == PositionOfKey.end() ? nullptr : &Instances[it->second];
 }
 
-uint32_t DispatchPool::freeSlots(const PoolInstance &instance) {
-  uint32_t slots =
-      instance.Cold ? std::max(instance.Slots / 2, 1U) : instance.Slots;
+/// Begins the return of an instance's slots if its evacuation ended.
+void DispatchPool::noteEvacuation(PoolInstance &instance, bool before,
+                                  Duration warmup, Instant now) {
+  if (!before || instance.Evacuated)
+    return;
+  instance.RestoredAt = now;
+  instance.RestoreEnd =
+      now + (warmup > Duration::zero() ? warmup : DefaultRestoreTime);
+}
+
+uint32_t PoolInstance::usableSlots(Instant now) const {
+  uint32_t slots = Cold ? std::max(Slots / 2, 1U) : Slots;
+  if (now >= RestoreEnd)
+    return slots;
+  int64_t steps =
+      1 + (now - RestoredAt) * (RestoreSteps - 1) / (RestoreEnd - RestoredAt);
+  return std::min(
+      slots, std::max(1U, static_cast<uint32_t>(Slots * steps / RestoreSteps)));
+}
+
+void DispatchPool::noteRole(PlacerRole role, Instant now) {
+  if (role != PlacerRole::Owner || !Bounds.limited())
+    return;
+  // Without a request for a whole window, another VM may have been the owner.
+  if (now > OwnerUntil)
+    for (PoolInstance &it : Instances)
+      it.Starts.begin(now);
+  OwnerUntil = now + StartWindow;
+}
+
+void DispatchPool::renewRole(Instant now) {
+  if (now <= OwnerUntil)
+    OwnerUntil = now + StartWindow;
+}
+
+Instant DispatchPool::nextStartOf(const PoolInstance &instance,
+                                  Instant now) const {
+  if (!Bounds.limited())
+    return now;
+  if (now <= OwnerUntil)
+    return instance.Starts.nextStart(Bounds, instance.Cold, PlacerRole::Owner,
+                                     now);
+  // All VMs without an owner together may use the reserve, so that each
+  // instance is left to about as many of them.
+  uint64_t weight =
+      XXH3_64bits_withSeed(&instance.Key, sizeof(instance.Key), StandInSeed);
+  if (weight % FleetSize >= Bounds.Reserve)
+    return NeverInstant;
+  return instance.Starts.nextStart(Bounds, instance.Cold, PlacerRole::StandIn,
+                                   now);
+}
+
+Instant DispatchPool::nextStart(Instant now) const {
+  Instant next = NeverInstant;
+  for (const PoolInstance &it : Instances) {
+    if (!Bounds.limited())
+      break;
+    if (!it.isInService() || freeSlots(it, now) == 0)
+      continue;
+    Instant due = nextStartOf(it, now);
+    if (due > now)
+      next = std::min(next, due);
+  }
+  return next;
+}
+
+uint32_t DispatchPool::freeSlots(const PoolInstance &instance, Instant now) {
+  uint32_t slots = instance.usableSlots(now);
   auto used = static_cast<uint32_t>(instance.Grants.size());
   return slots > used ? slots - used : 0;
 }
@@ -187,8 +273,8 @@
 
 /// \returns true if the instance accepts a request of some VM.
 bool DispatchPool::isOpen(const PoolInstance &instance, Instant now) const {
-  if (!instance.isInService() || freeSlots(instance) == 0 ||
-      now < instance.FullUntil)
+  if (!instance.isInService() || freeSlots(instance, now) == 0 ||
+      now < instance.FullUntil || nextStartOf(instance, now) > now)
     return false;
   switch (instance.Health.state(now)) {
   case EjectionState::Healthy:
@@ -519,7 +605,7 @@
   uint32_t slots = 0;
   for (const PoolInstance &it : Instances)
     if (it.isInService() && it.Health.state(now) == EjectionState::Healthy)
-      slots += it.Cold ? std::max(it.Slots / 2, 1U) : it.Slots;
+      slots += it.usableSlots(now);
   return std::max(slots, 1U);
 }
 
--- a/src/dispatch_pool.h
+++ b/src/dispatch_pool.h
@@ -7,6 +7,7 @@
 #include "dispatch_health.h"
 #include "dispatch_history.h"
 #include "guavasail/dispatch.h"
+#include "start_limit.h"
 
 #include <cstdint>
 #include <optional>
@@ -52,6 +53,12 @@
   /// It announced its shutdown in a response, which the catalog may tell later.
   bool AnnouncedLeaving = false;
   bool Cold = false;
+  bool Evacuated = false;
+  /// After the evacuation of its zone its slots come back in steps between
+  /// these times.
+  Instant RestoredAt{};
+  Instant RestoreEnd{};
+  StartLimit Starts;
   OutlierDetector Health;
   std::vector<SlotGrant> Grants;
   Instant LastGrantAt{};
@@ -68,9 +75,12 @@
 
   /// \returns true if new requests may be placed on the instance.
   [[nodiscard]] bool isInService() const {
-    return Present && !Leaving && !AnnouncedLeaving;
+    return Present && !Leaving && !AnnouncedLeaving && !Evacuated;
   }
 
+  /// \returns the number of slots that may be in use at \p now.
+  [[nodiscard]] uint32_t usableSlots(Instant now) const;
+
   /// \returns the time until the instance accepts a request from \p vm, zero
   /// if it does now.
   [[nodiscard]] Duration backoffOf(VmHandle vm, Instant now) const;
@@ -93,10 +103,35 @@
 class DispatchPool {
 public:
   DispatchPool(PlacementKind placement, EjectionKind ejection, uint64_t seed)
-      : Placement(placement), Ejection(ejection), Random(seed) {}
+      : Placement(placement), Ejection(ejection), Random(seed),
+        StandInSeed(seed) {}
+
+  /// Sets the bounds on starts; called before `acceptCatalog`.
+  void setStartBounds(const StartBounds &bounds, Instant now);
 
   /// Updates the instances of \p service from \p catalog.
-  void acceptCatalog(const CatalogIndex &catalog, ServiceHandle service);
+  void acceptCatalog(const CatalogIndex &catalog, ServiceHandle service,
+                     Instant now);
+
+  /// Sets the number of listed VMs, which share the starts of VMs that place
+  /// without an owner.
+  void setFleetSize(uint32_t vms) { FleetSize = vms; }
+
+  /// Notes under which role this VM was asked to place a request. A first
+  /// request as the owner begins a new count of starts.
+  void noteRole(PlacerRole role, Instant now);
+
+  /// Keeps the present role while requests are waiting.
+  void renewRole(Instant now);
+
+  /// Counts a start on \p instance.
+  void noteStart(PoolInstance &instance, Instant now) const {
+    instance.Starts.noteStart(Bounds, now);
+  }
+
+  /// \returns when an instance with a free slot that gets no further start now
+  /// may get one, `NeverInstant` if there is none.
+  [[nodiscard]] Instant nextStart(Instant now) const;
 
   /// \returns an instance with a free slot, null if the requesting VM can use
   /// none.
@@ -185,11 +220,23 @@
   void holdEjected(PoolInstance &instance, Instant now) const;
   void endHolds();
   void updateBusyShare(Instant now);
-  [[nodiscard]] static uint32_t freeSlots(const PoolInstance &instance);
+  [[nodiscard]] static uint32_t freeSlots(const PoolInstance &instance,
+                                          Instant now);
+  static void noteEvacuation(PoolInstance &instance, bool before,
+                             Duration warmup, Instant now);
+  [[nodiscard]] Instant nextStartOf(const PoolInstance &instance,
+                                    Instant now) const;
 
   PlacementKind Placement;
   EjectionKind Ejection;
   std::mt19937_64 Random;
+  StartBounds Bounds;
+  /// This VM places as the owner until then.
+  Instant OwnerUntil{};
+  uint32_t FleetSize = 1;
+  /// Tells which instances this VM may use without an owner; differs between
+  /// VMs.
+  uint64_t StandInSeed;
   std::vector<PoolInstance> Instances;
   /// Positions in `Instances` by key.
   std::unordered_map<uint64_t, size_t> PositionOfKey;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -10,6 +10,8 @@
 
 /// Time between two checks of waiting requests and slots in use.
 constexpr Duration CheckInterval = std::chrono::milliseconds(150);
+/// Least time between two checks for instances that may get a start again.
+constexpr Duration MinStartInterval = std::chrono::milliseconds(10);
 
 /// Retry delay for callers of a service without instances.
 constexpr Duration NoInstanceRetryAfter = std::chrono::milliseconds(500);
@@ -85,7 +87,11 @@
     if (!find(key))
       Services.emplace_back(Init, key);
     Service &service = *find(key);
-    service.Pool.acceptCatalog(catalog, handle);
+    service.Pool.setStartBounds(
+        startBounds(catalog.at(handle).WarmupPerKilosecond,
+                    Init.WarmupOvershoot, Init.WarmupSlack),
+        now);
+    service.Pool.acceptCatalog(catalog, handle, now);
     serveWaiting(service, now);
   }
 }
@@ -108,10 +114,11 @@
 
 void Dispatcher::onPlacementRequest(VmHandle from, ZoneHandle zone,
                                     const PlacementRequest &placement,
-                                    Instant now) {
+                                    Instant now, PlacerRole role) {
   Service *service = find(placement.Service);
   if (!service)
     return reply(from, placement, PlacementVerdict::NotOwner);
+  service->Pool.noteRole(role, now);
   if (service->Queue.find(from, placement.Request, placement.Ordinal))
     return reply(from, placement, PlacementVerdict::Queued);
   Duration refusedFor = service->Crashes.refusedFor(placement.Fingerprint, now);
@@ -149,6 +156,7 @@
   if (!replied)
     reply(from, placement, PlacementVerdict::Queued);
   scheduleCheck(now);
+  scheduleStart(*service, now);
 }
 
 bool Dispatcher::tryGrant(Service &service, const QueueEntry &entry,
@@ -163,6 +171,7 @@
   DispatchPool::occupySlot(*instance,
                            {entry.Vm, placement.Request, placement.Ordinal, now,
                             entry.Deadline, false});
+  service.Pool.noteStart(*instance, now);
   Duration untilObjective =
       std::max(entry.ObjectiveDeadline - now, Duration::zero());
   Out.push_back({entry.Vm,
@@ -255,8 +264,20 @@
 }
 
 void Dispatcher::scheduleCheck(Instant now) {
-  if (NextCheck == NeverInstant)
-    NextCheck = now + CheckInterval;
+  NextCheck = std::min(NextCheck, now + CheckInterval);
+}
+
+/// Schedules a check for waiting requests that no release would serve: their
+/// instances have free slots and may get no start yet.
+void Dispatcher::scheduleStart(const Service &service, Instant now) {
+  if (!service.Queue.empty())
+    NextCheck = std::min(NextCheck, std::max(service.Pool.nextStart(now),
+                                             now + MinStartInterval));
+}
+
+void Dispatcher::setFleetSize(uint32_t vms) {
+  for (Service &it : Services)
+    it.Pool.setFleetSize(vms);
 }
 
 void Dispatcher::advance(Instant now) {
@@ -267,7 +288,10 @@
   for (Service &it : Services) {
     it.Pool.advance(now);
     refuseUnservable(it, now);
+    if (!it.Queue.empty())
+      it.Pool.renewRole(now);
     serveWaiting(it, now);
+    scheduleStart(it, now);
     busy |= !it.Queue.empty() || it.Pool.isBusy();
   }
   if (busy)
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -62,8 +62,14 @@
   /// Handles a placement request. Replies at once; the reply to a queued
   /// request follows when a slot is free or the request is refused.
   /// \param zone zone of the requesting VM.
+  /// \param role whether this VM owns the service as far as the requesting VM
+  /// knows.
   void onPlacementRequest(VmHandle from, ZoneHandle zone,
-                          const PlacementRequest &placement, Instant now);
+                          const PlacementRequest &placement, Instant now,
+                          PlacerRole role = PlacerRole::Owner);
+
+  /// Sets the number of listed VMs.
+  void setFleetSize(uint32_t vms);
 
   /// Frees a slot, or removes a request from the queue.
   void onRelease(VmHandle from, const PlacementRelease &release, Instant now);
@@ -113,6 +119,7 @@
   void reply(VmHandle to, const PlacementRequest &placement,
              PlacementVerdict verdict, Duration retryAfter = {});
   void scheduleCheck(Instant now);
+  void scheduleStart(const Service &service, Instant now);
 
   DispatchInit Init;
   std::vector<Service> Services;
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -200,12 +200,13 @@
       &InstanceSpec::Port,    &InstanceSpec::Zone,
       &InstanceSpec::Slots,   &InstanceSpec::Connections,
       &InstanceSpec::Started, &InstanceSpec::Leaving,
-      &InstanceSpec::Cold};
+      &InstanceSpec::Cold,    &InstanceSpec::Evacuated};
 };
 
 template <> struct PeerFields<ServiceSpec> {
   static constexpr std::tuple Members{
-      &ServiceSpec::Name, &ServiceSpec::FloorPercent, &ServiceSpec::Instances};
+      &ServiceSpec::Name, &ServiceSpec::FloorPercent, &ServiceSpec::Instances,
+      &ServiceSpec::Warmup, &ServiceSpec::WarmupPerKilosecond};
 };
 
 template <> inline constexpr uint64_t PeerEnumCount<RequestKind> = 5;
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -101,6 +101,7 @@
   if (Fleet == FleetKind::Alone)
     Subsets.refresh(Catalog, Members.view(), Zone, Bounds.MaxLanesPerInstance);
   updateRateLimits(step);
+  noteEvacuations(step);
   updatePlacement(step);
   Ready = true;
 }
--- a/src/reducer_attempt.cpp
+++ b/src/reducer_attempt.cpp
@@ -108,7 +108,7 @@
 /// has said.
 bool ReducerState::acceptsRequests(InstanceHandle instance, Instant now) const {
   const InstanceSpec &spec = Catalog.at(instance).Spec;
-  return !spec.Leaving &&
+  return !spec.Leaving && !spec.Evacuated &&
          Instances.at(instance).Notice.accepts(spec.Started, now);
 }
 
--- a/src/reducer_config.cpp
+++ b/src/reducer_config.cpp
@@ -36,6 +36,30 @@
   applyAdoptedConfig(step);
 }
 
+/// Reports zones whose evacuation began or ended. A zone whose last instance
+/// left the catalog keeps its state.
+void ReducerState::noteEvacuations(Step &step) {
+  std::vector<bool> now = EvacuatedZones;
+  std::vector<bool> known(now.size());
+  for (const InstanceEntry &it : Catalog.instances()) {
+    if (!it.Present)
+      continue;
+    size_t zone = it.Zone.Value;
+    if (zone >= now.size()) {
+      now.resize(zone + 1);
+      known.resize(zone + 1);
+    }
+    now[zone] = it.Spec.Evacuated || (known[zone] && now[zone]);
+    known[zone] = true;
+  }
+  EvacuatedZones.resize(now.size());
+  for (uint32_t n = 0; n < now.size(); ++n)
+    if (now[n] != EvacuatedZones[n])
+      step.Effects.push(
+          ZoneEvacuationChanged{Catalog.name(ZoneHandle{n}), now[n]});
+  EvacuatedZones = std::move(now);
+}
+
 /// Applies adopted versions to the catalog index. Requests that were sent to a
 /// backend server continue, even if the new version withdraws their key.
 void ReducerState::applyAdoptedConfig(Step &step) {
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -162,7 +162,10 @@
   request.AskedVm = owner;
   request.LastAskedAt = step.Now;
   if (owner == self) {
-    Dispatch.onPlacementRequest(self, Zone, placement, step.Now);
+    bool owns = request.OwnerFailures == 0 ||
+                resolveOwner(placement.Service, {}, step.Now) == self;
+    Dispatch.onPlacementRequest(self, Zone, placement, step.Now,
+                                owns ? PlacerRole::Owner : PlacerRole::StandIn);
     return flushPlacement(step);
   }
   step.Effects.push(SendPeer{owner, placement});
@@ -508,6 +511,7 @@
     alive += state == VmState::Alive ? 1 : 0;
   }
   flushPlacement(step);
+  Dispatch.setFleetSize(std::max(listed, 1U));
   updateQuotaShares(std::max(listed, 1U), std::max(alive, 1U), step.Now);
 }
 
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -186,6 +186,7 @@
   void onAuditRequested(const AuditRequested &event, Step &step);
   void onConfigTick(Step &step);
   void applyAdoptedConfig(Step &step);
+  void noteEvacuations(Step &step);
 
   // Shared by several handlers.
   void startAttempt(Request &request, Step &step);
@@ -236,6 +237,8 @@
   /// Request counter that distributes requests over traffic splits.
   uint64_t SplitCounter = 0;
   ZoneHandle Zone;
+  /// Whether the operator evacuates a zone, by zone handle.
+  std::vector<bool> EvacuatedZones;
   bool Ready = false;
   bool Draining = false;
   Instant DrainStart{};
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -67,16 +67,33 @@
   return text == "alone" || text == "owners";
 }
 
-/// \returns true if \p text is a positive decimal number of at most six
-/// characters, or empty.
-inline bool isCpuShare(const std::string &text) {
-  constexpr size_t MaxCharacters = 6;
+/// \returns true if \p text is a positive decimal number of at most
+/// \p maxCharacters, or empty.
+inline bool isDecimal(const std::string &text, size_t maxCharacters) {
   bool digits = text.find_first_not_of("0123456789.") == std::string::npos;
   bool oneDot = text.find('.') == text.rfind('.');
-  return text.empty() || (digits && oneDot && text.size() <= MaxCharacters &&
+  return text.empty() || (digits && oneDot && text.size() <= maxCharacters &&
                           text.front() != '.' && text.back() != '.');
 }
 
+/// \returns true if \p text is a number of cores, or empty.
+inline bool isCpuShare(const std::string &text) {
+  constexpr size_t MaxCharacters = 6;
+  return isDecimal(text, MaxCharacters);
+}
+
+/// \returns true if \p text is a factor of at most 1000, or empty.
+inline bool isOvershoot(const std::string &text) {
+  constexpr size_t MaxCharacters = 24;
+  constexpr double MaxFactor = 1000;
+  if (text.empty() || !isDecimal(text, MaxCharacters))
+    return text.empty();
+  double factor = std::stod(text);
+  return factor > 0 && factor <= MaxFactor;
+}
+
+inline constexpr StringRule OvershootRule = {&isOvershoot,
+                                             "a positive factor, such as 1.5"};
 inline constexpr StringRule CpuShareRule = {&isCpuShare,
                                             "a number of cores, such as 0.5"};
 inline constexpr StringRule EndpointRule = {&isEndpoint, "IP:PORT"};
@@ -157,6 +174,9 @@
     {"retry_percent", &FleetSettings::RetryPercent, false, 0, 100},
     {"retry_slack", &FleetSettings::RetrySlack},
     {"retry_window_ms", &FleetSettings::RetryWindow, false, 1000},
+    {"warmup_overshoot", &FleetSettings::WarmupOvershoot, false, 0, 0,
+     &OvershootRule},
+    {"warmup_slack", &FleetSettings::WarmupSlack},
     {"withdrawal_ms", &FleetSettings::MaxWithdrawalDelay, false, 1000},
     {"trust_outage", &FleetSettings::AdmitDuringOutage},
     {"lease_ms", &FleetSettings::Lease, false, 1000, 600000},
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -269,6 +269,104 @@
   EXPECT_TRUE(out.Routes.at(0).Anonymous);
 }
 
+/// What a service says about its cold instances.
+struct WarmupCase {
+  std::string_view Name;
+  std::string_view Fields;
+  Duration Warmup{};
+  uint32_t PerKilosecond = 0;
+  FormatFault Fault = FormatFault::None;
+};
+
+const WarmupCase Warmups[] = {
+    {"Absent", R"("name":"s")"},
+    {"Fractions", R"("name":"s","warmup_s":2.5,"warmup_per_s":6.9)",
+     std::chrono::milliseconds(2500), 6900},
+    {"Whole", R"("name":"s","warmup_s":3,"warmup_per_s":7)",
+     std::chrono::seconds(3), 7000},
+    {"NoLimit", R"("name":"s","warmup_s":3,"warmup_per_s":0)",
+     std::chrono::seconds(3)},
+    {"Null", R"("name":"s","warmup_s":null,"warmup_per_s":null)"},
+    {"Tiny", R"("name":"s","warmup_per_s":0.0001)", {}, 1},
+    {"Negative",
+     R"("name":"s","warmup_per_s":-1)",
+     {},
+     0,
+     FormatFault::ValueUnknown},
+    {"Text",
+     R"("name":"s","warmup_s":"3")",
+     {},
+     0,
+     FormatFault::FieldOfOtherType},
+    {"Huge", R"("name":"s","warmup_s":1e30)", {}, 0, FormatFault::ValueUnknown},
+};
+
+std::ostream &operator<<(std::ostream &out, const WarmupCase &row) {
+  return out << row.Name;
+}
+
+class ServiceWarmup : public testing::TestWithParam<WarmupCase> {};
+
+/// Guards against a service that is lost over fields it can do without.
+TEST_P(ServiceWarmup, IsDecodedOrLeftOut) {
+  const WarmupCase &row = GetParam();
+  DecodedConfig out;
+  std::string text = R"({"version":1,"listeners":[],"clusters":[{)";
+  text.append(row.Fields).append("}]}");
+  ASSERT_EQ(decodeConfig(text, out).Fault, FormatFault::None);
+  ASSERT_EQ(out.Services.size(), 1u);
+  EXPECT_EQ(out.Services[0].Warmup, row.Warmup);
+  EXPECT_EQ(out.Services[0].WarmupPerKilosecond, row.PerKilosecond);
+  ASSERT_EQ(out.Failures.size(), row.Fault == FormatFault::None ? 0u : 1u);
+  if (row.Fault != FormatFault::None)
+    EXPECT_EQ(out.Failures[0].Failure.Fault, row.Fault);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ServiceWarmup, testing::ValuesIn(Warmups),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+/// A key under `op/evacuate/` and its value.
+struct EvacuationCase {
+  std::string_view Name;
+  std::string Zone;
+  std::string Value;
+  bool Evacuated;
+  bool UnreadableValue = false;
+};
+
+const EvacuationCase Evacuations[] = {
+    {"Read", "z", "{}", true},
+    {"WithMembers", "z", R"({"why":"flood"})", true},
+    {"ValueNoJson", "z", "now", true, true},
+    {"ValueEmpty", "z", "", true, true},
+    {"ZoneEmpty", "", "{}", false},
+    {"ZoneWithLineEnd", "z\r\nx: y", "{}", false},
+    {"ZoneTooLong", repeated("z", 400), "{}", false},
+};
+
+std::ostream &operator<<(std::ostream &out, const EvacuationCase &row) {
+  return out << row.Name;
+}
+
+class EvacuationItem : public testing::TestWithParam<EvacuationCase> {};
+
+/// Guards against an evacuation that is missed over its value, and a name that
+/// breaks log lines.
+TEST_P(EvacuationItem, DependsOnItsKeyAlone) {
+  const EvacuationCase &row = GetParam();
+  bool unreadable = false;
+  FormatFailure failure = decodeEvacuation(row.Zone, row.Value, unreadable);
+  EXPECT_EQ(failure.Fault == FormatFault::None, row.Evacuated);
+  EXPECT_EQ(unreadable, row.UnreadableValue);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EvacuationItem, testing::ValuesIn(Evacuations),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 TEST(StorePage, KeepsReadableItems) {
   auto page =
       parsePage(R"({"items":[{"key":"a","value":"aGVsbG8=","revision":3},)"
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -44,6 +44,8 @@
 std::string valueOf(std::string_view key) {
   if (key == "op/config")
     return R"({"version":7,"listeners":[],"clusters":[{"name":"s"}]})";
+  if (key.starts_with("op/evacuate/"))
+    return "{}";
   return R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":2,)"
          R"("state":"ready","sequence":1})";
 }
@@ -71,17 +73,30 @@
 class ReplySink : public EventSink {
 public:
   void post(const EventBody &body) override {
-    if (const auto *reply = std::get_if<StoreReplied>(&body))
-      Reply = *reply;
+    const auto *reply = std::get_if<StoreReplied>(&body);
+    if (!reply)
+      return;
+    Reply = *reply;
+    const auto *chunk =
+        reply->Value ? std::get_if<CatalogChunk>(reply->Value) : nullptr;
+    if (chunk && !chunk->Services.empty())
+      Services = chunk->Services;
+    if (const auto *head =
+            reply->Value ? std::get_if<ConfigHead>(reply->Value) : nullptr)
+      Head = *head;
   }
 
   std::optional<StoreReplied> Reply;
+  /// The newest head and the newest chunk with services.
+  ConfigHead Head;
+  std::vector<ServiceSpec> Services;
 };
 
-class PagedRead : public testing::TestWithParam<PagedReadCase> {
+/// A loop for a store that the test answers.
+class StoreLoop {
 protected:
-  PagedRead() { uv_loop_init(&Loop); }
-  ~PagedRead() override {
+  StoreLoop() { uv_loop_init(&Loop); }
+  ~StoreLoop() {
     uv_run(&Loop, UV_RUN_DEFAULT);
     uv_loop_close(&Loop);
   }
@@ -93,12 +108,23 @@
       uv_run(&Loop, UV_RUN_NOWAIT);
   }
 
+  /// Turns the loop until the store replied.
+  void turnUntilReplied() {
+    for (int n = 0; n < MaxTurns && !Sink.Reply; ++n) {
+      ::poll(nullptr, 0, 1);
+      uv_run(&Loop, UV_RUN_NOWAIT);
+    }
+  }
+
   static constexpr int MaxTurns = 5000;
   uv_loop_t Loop{};
   Listener Server;
   ReplySink Sink;
 };
 
+class PagedRead : public StoreLoop,
+                  public testing::TestWithParam<PagedReadCase> {};
+
 /// A change between two pages must not count as read with the first page.
 TEST_P(PagedRead, IsCompleteUpToItsFirstPage) {
   const std::vector<PageSpec> &pages = GetParam().Pages;
@@ -117,10 +143,7 @@
     ASSERT_TRUE(calls.receive());
     calls.send(pageText(pages[n], n + 1 < pages.size()));
   }
-  for (int n = 0; n < MaxTurns && !Sink.Reply; ++n) {
-    ::poll(nullptr, 0, 1);
-    uv_run(&Loop, UV_RUN_NOWAIT);
-  }
+  turnUntilReplied();
   ASSERT_TRUE(Sink.Reply);
   EXPECT_EQ(Sink.Reply->Outcome, StoreOutcome::Conflict);
   EXPECT_EQ(Sink.Reply->Revision, GetParam().Complete);
@@ -133,6 +156,108 @@
                            return std::string(it.param.Name);
                          });
 
+/// Keys of successive reads, and whether the instance in zone z is evacuated.
+struct EvacuationReadCase {
+  std::string_view Name;
+  std::vector<std::string_view> First;
+  std::vector<std::string_view> Second;
+  bool Before;
+  bool After;
+  /// The catalog's version moves with the second read.
+  bool Moves = true;
+};
+
+const EvacuationReadCase EvacuationReads[] = {
+    {"Begins",
+     {"op/config", "servers/i-1"},
+     {"op/config", "op/evacuate/z", "servers/i-1"},
+     false,
+     true},
+    {"Ends",
+     {"op/config", "op/evacuate/z", "servers/i-1"},
+     {"op/config", "servers/i-1"},
+     true,
+     false},
+    {"OtherZone",
+     {"op/config", "servers/i-1"},
+     {"op/config", "op/evacuate/y", "servers/i-1"},
+     false,
+     false,
+     false},
+    {"UnreadableZone",
+     {"op/config", "op/evacuate/z", "servers/i-1"},
+     {"op/config", "op/evacuate/", "op/evacuate/z", "servers/i-1"},
+     true,
+     true,
+     false},
+};
+
+std::ostream &operator<<(std::ostream &out, const EvacuationReadCase &row) {
+  return out << row.Name;
+}
+
+class EvacuationRead : public StoreLoop,
+                       public testing::TestWithParam<EvacuationReadCase> {
+protected:
+  /// Answers one read of the whole catalog.
+  /// \returns whether its instance is evacuated, nothing without an answer.
+  std::optional<bool> read(platform::Store &store, std::optional<Wire> &calls,
+                           const PageSpec &page) {
+    StoreValue none;
+    StoreWrite confirm;
+    confirm.Value = &none;
+    Sink.Reply.reset();
+    store.start(confirm);
+    if (!calls) {
+      turnUntilReadable(Server.fd());
+      calls.emplace(Server.accept());
+    }
+    turnUntilReadable(calls->fd());
+    if (!calls->receive())
+      return std::nullopt;
+    calls->send(pageText(page, false));
+    turnUntilReplied();
+    Sink.Services.clear();
+    StoreRead head;
+    head.Key.Space = StoreSpace::Head;
+    store.start(head);
+    for (const Digest &it : Sink.Head.Chunks) {
+      StoreRead chunk;
+      chunk.Key.Space = StoreSpace::Chunk;
+      chunk.Key.Chunk = it;
+      if (it != Digest{})
+        store.start(chunk);
+    }
+    store.recycle();
+    if (Sink.Services.empty() || Sink.Services[0].Instances.empty())
+      return std::nullopt;
+    return Sink.Services[0].Instances[0].Evacuated;
+  }
+};
+
+/// Guards against an evacuation that begins or ends without a new version, so
+/// that other VMs do not learn of it.
+TEST_P(EvacuationRead, MarksInstancesInANewVersion) {
+  const EvacuationReadCase &row = GetParam();
+  StoreSettings settings;
+  settings.Address = "127.0.0.1";
+  settings.Port = Server.port();
+  platform::Store store(Loop, settings, VmSpec{}, Sink);
+  std::optional<Wire> calls;
+  constexpr uint64_t FirstRevision = 7;
+  constexpr uint64_t SecondRevision = 9;
+  EXPECT_EQ(read(store, calls, {FirstRevision, row.First}), row.Before);
+  EXPECT_EQ(read(store, calls, {SecondRevision, row.Second}), row.After);
+  EXPECT_EQ(Sink.Head.Version, row.Moves ? SecondRevision : FirstRevision);
+  store.close();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EvacuationRead,
+                         testing::ValuesIn(EvacuationReads),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 } // namespace
 
 } // namespace guavasail
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -93,6 +93,9 @@
   std::string operator()(const ConfigActivated &it) const {
     return "config in force " + std::to_string(it.Version);
   }
+  std::string operator()(const ZoneEvacuationChanged &it) const {
+    return (it.Evacuated ? "evacuated " : "restored ") + std::string(it.Zone);
+  }
   std::string operator()(const DrainCompleted &) const {
     return "drain completed";
   }
