--- a/bench/bench_dispatch.cpp
+++ b/bench/bench_dispatch.cpp
@@ -284,7 +284,7 @@
     queue.push(entry);
   };
   uint64_t before = AllocatedBytes;
-  while (number < waiting)
+  for (uint32_t n = 0; n < waiting; ++n)
     admit();
   double fillBytes = static_cast<double>(AllocatedBytes - before);
   before = AllocatedBytes;
