Build the reply of a draining VM to a quota request again

QuotaReply has the workspace before the request since the return of tokens, and one of its uses still gave the request first. Names both members in their order.

--- a/src/reducer_quota.cpp
+++ b/src/reducer_quota.cpp
@@ -134,7 +134,8 @@
 void ReducerState::onPeer(VmHandle from, const QuotaRequest &message,
                           Step &step) {
   if (Draining) {
-    step.Effects.push(SendPeer{from, QuotaReply{message.Request}});
+    step.Effects.push(
+        SendPeer{from, QuotaReply{message.Workspace, message.Request}});
     return;
   }
   Quotas.acquire(from, message, step.Now);
