Test callers outside the limits against the real daemon

Such callers ended a process by exhausting its memory. The settings memory_mb and file_descriptors are checked here and have no effect yet.

--- a/include/guavasail/limits.h
+++ b/include/guavasail/limits.h
@@ -28,6 +28,11 @@
   uint32_t MaxResponseBufferBytes = 256 * 1024;
   /// Connections to one instance, at most `MaxLanes`.
   uint32_t MaxLanesPerInstance = 16;
+  /// Memory of the VM in megabytes, from which the budget of buffered bytes is
+  /// derived; 0 for no budget.
+  uint32_t MemoryMegabytes = 0;
+  /// File descriptors that the process may have; 0 if they bound nothing.
+  uint32_t FileDescriptors = 0;
   /// Attempts for one request, including the first.
   uint32_t Attempts = 3;
   /// Time within which a caller has to send a complete head or the next part
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -187,6 +187,8 @@
     {"replay_bytes", &Limits::MaxReplayBytes},
     {"answer_buffer_bytes", &Limits::MaxResponseBufferBytes, false, 4096},
     {"lanes_per_instance", &Limits::MaxLanesPerInstance, false, 1, MaxLanes},
+    {"memory_mb", &Limits::MemoryMegabytes, false, 32, 1 << 20},
+    {"file_descriptors", &Limits::FileDescriptors, false, 256, 1 << 20},
     {"attempts", &Limits::Attempts, false, 1, 16},
     {"caller_idle_ms", &Limits::CallerIdleTimeout, false, 1},
     {"connect_ms", &Limits::ConnectTimeout, false, 1},
--- a/tests/edge_harness.cpp
+++ b/tests/edge_harness.cpp
@@ -196,6 +196,16 @@
   return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+size_t Child::peakBytes() const {
+  constexpr std::string_view Key = "VmHWM:";
+  constexpr size_t KilobyteBytes = 1024;
+  std::ifstream status("/proc/" + std::to_string(Id) + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with(Key))
+      return std::stoul(line.substr(Key.size())) * KilobyteBytes;
+  return 0;
+}
+
 int Child::wait() {
   for (int n = 0; n < WaitMillis && Id >= 0; ++n) {
     if (::waitpid(Id, &Status, WNOHANG) == Id) {
--- a/tests/edge_harness.h
+++ b/tests/edge_harness.h
@@ -88,6 +88,9 @@
   [[nodiscard]] bool running();
   /// \returns its memory in bytes, 0 once it has ended.
   [[nodiscard]] size_t residentBytes() const;
+  /// \returns the most memory that it had in bytes, 0 once it has ended.
+  [[nodiscard]] size_t peakBytes() const;
+  [[nodiscard]] pid_t id() const { return Id; }
   /// \returns the exit status, or -1 if it did not end by itself.
   int wait();
 
