Answer refusals of requests whose id is not UTF-8, check kept statuses

The body of a refusal is JSON, whose writer throws for such text. It now replaces such bytes, as the log already did. A kept answer with a status outside 200 to 599, for example from another VM's record, is no longer repeated.

--- a/src/answer_blob.cpp
+++ b/src/answer_blob.cpp
@@ -9,6 +9,9 @@
 using nlohmann::json;
 
 constexpr size_t BlobParts = 3;
+/// Only final responses are kept.
+constexpr uint64_t FirstStatus = 200;
+constexpr uint64_t LastStatus = 599;
 
 std::optional<KeptAnswer> readAnswer(const json &blob) {
   if (!blob.is_array() || blob.size() != BlobParts)
@@ -17,8 +20,11 @@
       blob[0].is_number_unsigned() && blob[1].is_array() && blob[2].is_binary();
   if (!typed)
     return std::nullopt;
+  auto status = blob[0].get<uint64_t>();
+  if (status < FirstStatus || status > LastStatus)
+    return std::nullopt;
   KeptAnswer answer;
-  answer.Head.Status = blob[0].get<uint32_t>();
+  answer.Head.Status = static_cast<uint32_t>(status);
   for (const json &field : blob[1]) {
     bool pair = field.is_array() && field.size() == 2 && field[0].is_string() &&
                 field[1].is_string();
--- a/src/http_refusal.cpp
+++ b/src/http_refusal.cpp
@@ -148,7 +148,9 @@
   document["status"] = refusalStatus(kind);
   document["run"] = runStateName(spec.Run);
   document["request"] = id;
-  return document.dump();
+  // The id is the caller's and need not be UTF-8.
+  return document.dump(-1, ' ', false,
+                       nlohmann::ordered_json::error_handler_t::replace);
 }
 
 } // namespace guavasail
