Bound what callers can make a VM hold

A VM now has a budget of buffered bytes, a quarter of limits.memory_mb: requests, bodies, pipelined bytes, responses and what the kernel holds for a caller count. Above three quarters new requests get 503 with Retry-After and callers without progress for 2 s are disconnected, those with most bytes and longest time first; above the whole nothing more is read. Socket buffers are bounded to 64 KB. limits.file_descriptors bounds callers' connections. The next pipelined request starts once earlier responses are sent, at most 16 in a turn of the loop.

The reader skips empty lines, 32 at most, and only before a request. Heads are searched for folded lines once for each byte.

A keyed request with a chunked body of more than 128 KB was never passed on: its arrival waited for a body whose reading was paused (found by reading, no test).

--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -31,6 +31,8 @@
 /// may precede the response to a request.
 constexpr uint32_t MaxSkippedAnswers = 32;
 constexpr uint64_t MaxSkippedBytes = 1024 * 1024;
+/// Memory that an idle connection keeps.
+constexpr size_t IdleBufferBytes = 32 * 1024;
 /// Left of an announced idle time, for the way of the last request.
 constexpr uint64_t IdleMarginMs = 1000;
 constexpr std::string_view EncodingName = "content-encoding:";
@@ -149,9 +151,9 @@
 
 BackHttp::BackHttp(uv_loop_t &loop, const Limits &bounds,
                    const HeaderNames &names, ExchangeTable &exchanges,
-                   EventSink &sink)
+                   const BufferBudget &budget, EventSink &sink)
     : Loop(loop), Bounds(bounds), Names(names), Exchanges(exchanges),
-      Sink(sink) {}
+      Budget(budget), Sink(sink) {}
 
 BackHttp::~BackHttp() = default;
 
@@ -187,6 +189,8 @@
     slot->Stream = TcpStream::connect(Loop, instance.Address, instance.Port,
                                       static_cast<StreamOwner &>(*this));
     slot->Stream->Context = slot.get();
+    if (Budget.bounded())
+      slot->Stream->boundBuffers(SocketBufferBytes);
     auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
         Bounds.ConnectTimeout);
     slot->Stream->setDeadline(loopMillis(Loop) +
@@ -445,13 +449,18 @@
   if (exchange.KeepAnswer && call.AnswerBytes <= MaxKeptBodyBytes)
     call.Kept.append(it.Body);
   it.Body.clear();
-  if (call.Answer.unread().size() > Bounds.MaxResponseBufferBytes) {
+  // Over budget the answer is passed on as it comes: what the caller takes
+  // makes room.
+  if (call.Answer.unread().size() > Bounds.MaxResponseBufferBytes ||
+      Budget.full()) {
     postAnswered(it);
     call.Paused = true;
     it.Stream->pause();
   }
   if (it.Answered)
     Listener->answerGrew(exchange);
+  else
+    Listener->answerHeld(exchange);
 }
 
 void BackHttp::complete(Connection &it, Exchange &exchange) {
@@ -486,6 +495,10 @@
     return drop(it);
   it.State = Connection::Stage::Idle;
   it.Reader.reset();
+  if (it.In.capacity() + it.Body.capacity() > IdleBufferBytes) {
+    it.In = std::string();
+    it.Body = std::string();
+  }
   it.Stream->resume();
   it.Stream->setDeadline(loopMillis(Loop) + idle);
 }
@@ -549,7 +562,8 @@
 }
 
 void BackHttp::resume(BackendCall &call) {
-  bool room = call.Answer.unread().size() <= Bounds.MaxResponseBufferBytes;
+  size_t most = Budget.full() ? 0 : Bounds.MaxResponseBufferBytes;
+  bool room = call.Answer.unread().size() <= most;
   if (!call.Paused || !call.Connection || !room)
     return;
   call.Paused = false;
--- a/src/back_http.h
+++ b/src/back_http.h
@@ -3,6 +3,7 @@
 #ifndef GUAVASAIL_SRC_BACK_HTTP_H
 #define GUAVASAIL_SRC_BACK_HTTP_H
 
+#include "buffer_budget.h"
 #include "event_sink.h"
 #include "exchange.h"
 #include "front_end.h"
@@ -24,7 +25,8 @@
 class BackHttp : private StreamOwner {
 public:
   BackHttp(uv_loop_t &loop, const Limits &bounds, const HeaderNames &names,
-           ExchangeTable &exchanges, EventSink &sink);
+           ExchangeTable &exchanges, const BufferBudget &budget,
+           EventSink &sink);
   ~BackHttp();
   BackHttp(const BackHttp &) = delete;
   BackHttp &operator=(const BackHttp &) = delete;
@@ -83,6 +85,7 @@
   const Limits &Bounds;
   const HeaderNames &Names;
   ExchangeTable &Exchanges;
+  const BufferBudget &Budget;
   EventSink &Sink;
   AnswerListener *Listener = nullptr;
   /// By instance and lane.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -217,16 +217,17 @@
 
 StartFault Daemon::startFront() {
   Back = std::make_unique<BackHttp>(Loop, Config.Bounds, Config.Headers,
-                                    Exchanges, *this);
+                                    Exchanges, Budget, *this);
   if (Config.Daemon.TlsCertificate.empty()) {
-    Front = std::make_unique<FrontPlain>(Loop, Config, Exchanges, *Back,
+    Front = std::make_unique<FrontPlain>(Loop, Config, Exchanges, *Back, Budget,
                                          static_cast<EventSink &>(*this),
                                          [this] { return metricsText(); });
   } else {
     if (!startLibrary())
       return StartFault::LoopFailed;
-    Front = std::make_unique<FrontHttp>(Context, Config, Exchanges, *Back,
-                                        static_cast<EventSink &>(*this));
+    Front =
+        std::make_unique<FrontHttp>(Context, Config, Exchanges, *Back, Budget,
+                                    static_cast<EventSink &>(*this));
   }
   Back->listen(*Front);
   return Front->open() ? StartFault::None : StartFault::ListenFailed;
@@ -402,6 +403,15 @@
   line("requests_open", state.Requests.open());
   line("requests_waiting", state.Dispatch.waiting());
   line("config_version", state.Catalog.version());
+  if (Front) {
+    const CallerStats &callers = Front->callerStats();
+    line("caller_connections", callers.Connections);
+    line("callers_closed_stalled", callers.Stalled);
+    line("callers_closed_head_incomplete", callers.Displaced);
+    line("callers_not_accepted", callers.NotAccepted);
+    line("requests_refused_memory", callers.RefusedForMemory);
+  }
+  line("buffered_bytes", Budget.held());
   if (Store) {
     line("store_calls", Store->stats().Calls);
     line("store_failures", Store->stats().Failures);
@@ -469,7 +479,10 @@
                  next.Daemon.Zone != Config.Daemon.Zone ||
                  next.Store.Address != Config.Store.Address ||
                  next.Store.Port != Config.Store.Port ||
-                 next.Fleet.PeerPort != Config.Fleet.PeerPort;
+                 next.Fleet.PeerPort != Config.Fleet.PeerPort ||
+                 next.Bounds.MemoryMegabytes != Config.Bounds.MemoryMegabytes;
+  // Sockets are bounded when they are opened.
+  next.Bounds.MemoryMegabytes = Config.Bounds.MemoryMegabytes;
   Config.Bounds = next.Bounds;
   Config.Daemon.LogLevel = next.Daemon.LogLevel;
   setLogLevel(parseLogLevel(Config.Daemon.LogLevel));
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -4,6 +4,7 @@
 #define GUAVASAIL_SRC_DAEMON_H
 
 #include "back_http.h"
+#include "buffer_budget.h"
 #include "event_sink.h"
 #include "exchange.h"
 #include "front_end.h"
@@ -106,6 +107,7 @@
   std::deque<EventBody> Queue;
   std::vector<RecordAssignment> Assignments;
   ExchangeTable Exchanges;
+  BufferBudget Budget{Config.Bounds};
   std::unique_ptr<BackHttp> Back;
   std::unique_ptr<platform::Store> Store;
   std::unique_ptr<FrontEnd> Front;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -4,6 +4,7 @@
 #ifndef GUAVASAIL_SRC_EXCHANGE_H
 #define GUAVASAIL_SRC_EXCHANGE_H
 
+#include "buffer_budget.h"
 #include "guavasail/event.h"
 #include "guavasail/handle.h"
 #include "guavasail/refusal.h"
@@ -38,10 +39,17 @@
   std::vector<HeaderField> Fields;
 };
 
-/// Bytes with a read position. Memory is used again once all bytes are read.
+/// Bytes with a read position. Memory is used again once all bytes are read, or
+/// most of them, so that each byte is moved a bounded number of times.
 class ByteQueue {
 public:
-  void append(std::string_view bytes) { Bytes.append(bytes); }
+  void append(std::string_view bytes) {
+    if (At > Bytes.size() / 2) {
+      Bytes.erase(0, At);
+      At = 0;
+    }
+    Bytes.append(bytes);
+  }
 
   [[nodiscard]] std::string_view unread() const {
     return std::string_view(Bytes).substr(At);
@@ -60,6 +68,12 @@
     At = 0;
   }
 
+  /// Frees the memory of an empty queue that has more than \p bytes.
+  void trim(size_t bytes) {
+    if (At == Bytes.size() && Bytes.capacity() > bytes)
+      Bytes = std::string();
+  }
+
 private:
   std::string Bytes;
   size_t At = 0;
@@ -140,6 +154,16 @@
   Duration RetryAfter{};
   std::vector<std::unique_ptr<BackendCall>> Calls;
   BackendCall *Source = nullptr;
+  /// Bytes buffered for the request, where the front end counts by request.
+  BufferHolder Buffers;
+
+  /// \returns the bytes of its body and its answers that are in memory.
+  [[nodiscard]] uint64_t bufferedBytes() const {
+    uint64_t n = Body.size();
+    for (const auto &it : Calls)
+      n += it->Answer.unread().size() + it->Kept.size();
+    return n;
+  }
 
   /// \returns the call of \p attempt, or null.
   BackendCall *call(AttemptHandle attempt) {
@@ -172,9 +196,7 @@
     uint32_t index = FreeIndexes.back();
     FreeIndexes.pop_back();
     Exchange &exchange = Items[index];
-    uint32_t generation = exchange.Handle.Generation + 1;
-    exchange = Exchange{};
-    exchange.Handle = {index, generation};
+    exchange.Handle = {index, exchange.Handle.Generation + 1};
     exchange.InUse = true;
     ++Open;
     return exchange;
@@ -195,8 +217,13 @@
     --Open;
   }
 
-  /// Makes closed exchanges available again.
+  /// Makes closed exchanges available again and frees what they hold.
   void recycle() {
+    for (uint32_t index : Closed) {
+      RequestHandle handle = Items[index].Handle;
+      Items[index] = Exchange{};
+      Items[index].Handle = handle;
+    }
     FreeIndexes.insert(FreeIndexes.end(), Closed.begin(), Closed.end());
     Closed.clear();
   }
--- a/src/front_end.h
+++ b/src/front_end.h
@@ -23,10 +23,30 @@
 /// \returns the stable name of \p state.
 std::string_view servingStateName(ServingState state);
 
+/// What was done about callers outside the limits, since the start.
+struct CallerStats {
+  /// Open connections of callers.
+  uint64_t Connections = 0;
+  /// Disconnected because they held memory without progress.
+  uint64_t Stalled = 0;
+  /// Disconnected in favour of new ones, with a request head not whole.
+  uint64_t Displaced = 0;
+  /// Connections not accepted.
+  uint64_t NotAccepted = 0;
+  /// Requests refused because buffers have no room.
+  uint64_t RefusedForMemory = 0;
+};
+
+/// Time after which a caller whose request found no room may send it again:
+/// callers that block memory are disconnected within about this time.
+inline constexpr Duration RoomRetryAfter = std::chrono::seconds(2);
+
 /// Told when a call's answer has more bytes.
 class AnswerListener {
 public:
   virtual void answerGrew(Exchange &exchange) = 0;
+  /// More of an answer is buffered that is not passed on yet.
+  virtual void answerHeld(Exchange &exchange) = 0;
   /// More room for the request's body is available.
   virtual void bodyDrained(Exchange &exchange) = 0;
   /// An attempt starts and will need the request's body.
@@ -52,6 +72,9 @@
     ServingReason = reason;
   }
 
+  /// \returns counters for the metrics.
+  [[nodiscard]] const CallerStats &callerStats() const { return Stats; }
+
   /// Closes what keeps the loop alive, before the loop runs out.
   virtual void close() {}
 
@@ -67,6 +90,7 @@
 protected:
   ServingState Serving = ServingState::Starting;
   std::string_view ServingReason;
+  CallerStats Stats;
 };
 
 } // namespace guavasail
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -90,6 +90,15 @@
             {{"error", static_cast<int64_t>(errno)}});
 }
 
+/// Bounds what the system holds of a connection, in each direction.
+void boundSocket(int fd) {
+  int size = SocketBufferBytes;
+  if (setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size)) != 0 ||
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size)) != 0)
+    logLine(LogLevel::Warning, "socket-buffers-unbounded",
+            {{"error", static_cast<int64_t>(errno)}});
+}
+
 /// Sends body bytes, the last ones with \p mode `LWS_WRITE_HTTP_FINAL`.
 bool sendBody(lws *wsi, std::string_view bytes, lws_write_protocol mode) {
   std::array<unsigned char, LWS_PRE + ChunkBytes + ChunkFrameBytes> buf;
@@ -111,9 +120,10 @@
 };
 
 FrontHttp::FrontHttp(lws_context *context, const Settings &settings,
-                     ExchangeTable &exchanges, BackHttp &back, EventSink &sink)
+                     ExchangeTable &exchanges, BackHttp &back,
+                     BufferBudget &budget, EventSink &sink)
     : Context(context), Config(settings), Exchanges(exchanges), Back(back),
-      Sink(sink) {}
+      Budget(budget), Sink(sink) {}
 
 bool FrontHttp::open() {
   const DaemonSettings &daemon = Config.Daemon;
@@ -146,11 +156,17 @@
 }
 
 int FrontHttp::onAccept(lws *, std::string_view) {
-  return Connections >= Config.Bounds.MaxCallerConnections ? 1 : 0;
+  if (Connections < maxCallers(Config.Bounds))
+    return 0;
+  ++Stats.NotAccepted;
+  logLine(LogLevel::Warning, "caller-closed", {{"reason", "connections"}});
+  return 1;
 }
 
 int FrontHttp::onConnected(lws *wsi, std::string_view) {
-  ++Connections;
+  Stats.Connections = ++Connections;
+  if (Budget.bounded())
+    boundSocket(lws_get_socket_fd(wsi));
   expectProgress(wsi);
   return 0;
 }
@@ -159,7 +175,7 @@
   if (lws_get_opaque_user_data(wsi) == EndingMark)
     --Ending;
   if (!isHttp2(wsi) && Connections > 0)
-    --Connections;
+    Stats.Connections = --Connections;
   return 0;
 }
 
@@ -178,6 +194,12 @@
   return Exchanges.find(unpackHandle(lws_get_opaque_user_data(wsi)));
 }
 
+/// Counts what is buffered for a request.
+void FrontHttp::account(Exchange &exchange) {
+  if (Budget.bounded())
+    Budget.charge(exchange.Buffers, exchange.bufferedBytes());
+}
+
 void FrontHttp::wantWrite(Exchange &exchange) {
   if (exchange.Caller)
     lws_callback_on_writable(callerOf(exchange));
@@ -192,8 +214,11 @@
   RequestArrived event;
   if (auto fault = parseRequest(wsi, path, Config.Bounds, exchange, event))
     return refuseEarly(wsi, exchange, *fault);
-  if (Exchanges.openCount() > Config.Bounds.Requests)
+  if (Exchanges.openCount() > Config.Bounds.Requests || Budget.tight()) {
+    Stats.RefusedForMemory += Budget.tight() ? 1 : 0;
+    exchange.RetryAfter = RoomRetryAfter;
     return refuseEarly(wsi, exchange, RefusalKind::Overloaded);
+  }
   bool keyed = event.Repeat == Repeatability::AtMostOnce &&
                event.IdempotencyKey.present();
   exchange.KeepAnswer = keyed;
@@ -249,6 +274,7 @@
   else
     lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
   Back.bodyGrew(*exchange);
+  account(*exchange);
   return 0;
 }
 
@@ -290,6 +316,7 @@
     return 0;
   lws_set_opaque_user_data(wsi, nullptr);
   exchange->Caller = nullptr;
+  Budget.charge(exchange->Buffers, 0);
   Sink.post(CallerDisconnected{exchange->Handle});
   Back.release(*exchange);
   Exchanges.close(*exchange);
@@ -339,6 +366,13 @@
 void FrontHttp::answerGrew(Exchange &exchange) {
   if (exchange.Stage == AnswerStage::Body)
     wantWrite(exchange);
+  answerHeld(exchange);
+}
+
+void FrontHttp::answerHeld(Exchange &exchange) {
+  // A caller that is gone holds nothing.
+  if (exchange.Caller)
+    account(exchange);
 }
 
 int FrontHttp::onWritable(lws *wsi, std::string_view) {
@@ -400,6 +434,7 @@
   if (!sent)
     return -1;
   call.Answer.consume(part.size());
+  account(exchange);
   if (last)
     return endTransaction(exchange,
                           !exchange.OldCaller && !call.Head.UntilClose);
@@ -450,6 +485,7 @@
 int FrontHttp::endTransaction(Exchange &exchange, bool reuse) {
   lws *wsi = callerOf(exchange);
   lws_set_opaque_user_data(wsi, nullptr);
+  Budget.charge(exchange.Buffers, 0);
   Back.release(exchange);
   Exchanges.close(exchange);
   if (Serving == ServingState::Draining) {
--- a/src/front_http.h
+++ b/src/front_http.h
@@ -4,6 +4,7 @@
 #define GUAVASAIL_SRC_FRONT_HTTP_H
 
 #include "back_http.h"
+#include "buffer_budget.h"
 #include "event_sink.h"
 #include "exchange.h"
 #include "front_end.h"
@@ -20,7 +21,8 @@
 class FrontHttp : public FrontEnd {
 public:
   FrontHttp(lws_context *context, const Settings &settings,
-            ExchangeTable &exchanges, BackHttp &back, EventSink &sink);
+            ExchangeTable &exchanges, BackHttp &back, BufferBudget &budget,
+            EventSink &sink);
 
   bool open() override;
 
@@ -33,6 +35,7 @@
   void replay(const ReplayResponse &effect) override;
 
   void answerGrew(Exchange &exchange) override;
+  void answerHeld(Exchange &exchange) override;
   void bodyDrained(Exchange &exchange) override;
   void bodyWanted(Exchange &exchange) override;
 
@@ -71,11 +74,13 @@
   int endTransaction(Exchange &exchange, bool reuse);
   Exchange *exchangeOf(lws *wsi);
   void wantWrite(Exchange &exchange);
+  void account(Exchange &exchange);
 
   lws_context *Context;
   const Settings &Config;
   ExchangeTable &Exchanges;
   BackHttp &Back;
+  BufferBudget &Budget;
   EventSink &Sink;
   uint32_t Connections = 0;
   /// Connections of a draining daemon that send their last bytes.
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -8,6 +8,7 @@
 #include "request_head.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavasail {
 
@@ -18,6 +19,18 @@
 constexpr size_t BodyBufferBytes = 128 * 1024;
 /// Bytes of pipelined requests that wait for the answer before them.
 constexpr size_t PipelineBytes = 64 * 1024;
+/// Bytes of earlier answers that may be unsent when the next request starts.
+constexpr size_t UnsentBytes = 16 * 1024;
+/// Pipelined requests of one caller that are answered in one turn of the loop.
+/// Exchanges are used again only after the turn.
+constexpr int RequestsInTurn = 16;
+/// Memory that a connection without a request keeps.
+constexpr size_t IdleBufferBytes = 16 * 1024;
+/// Connections of the balancer and of the metrics' reader beyond the bound for
+/// callers.
+constexpr size_t OperatorConnections = 32;
+/// Interval in which buffers of the system and stalled callers are looked at.
+constexpr uint64_t SweepMs = 250;
 /// Bytes of an answer that wait for the caller before more is handed over.
 constexpr size_t SendQueueBytes = 128 * 1024;
 /// Time for which a caller's unread bytes are read away, so that closing does
@@ -54,16 +67,35 @@
   bool Ending = false;
   /// Bytes are read and thrown away until the caller closes.
   bool Lingering = false;
-  std::string In;
+  /// `readOn` runs for it.
+  bool ReadingOn = false;
+  /// The next request waits until earlier answers are sent.
+  bool AwaitsDrain = false;
+  /// Nothing is read because the budget is full.
+  bool Throttled = false;
+  ByteQueue In;
   std::string Body;
   std::unique_ptr<HttpReader> Reader;
+  /// When a part of a request head came, in milliseconds; 0 without one.
+  uint64_t HeadSince = 0;
+  BufferHolder Buffers;
+  /// Bytes received so far, and those seen by the last sweep.
+  uint64_t Received = 0;
+  uint64_t SampledReceived = 0;
+  uint64_t SampledWritten = 0;
+  uint64_t SampledTaken = 0;
+  /// Bytes that the system held at the last sweep: not taken by the caller, and
+  /// not read from it.
+  uint64_t Unconfirmed = 0;
+  uint64_t Unread = 0;
 };
 
 FrontPlain::FrontPlain(uv_loop_t &loop, const Settings &settings,
                        ExchangeTable &exchanges, BackHttp &back,
-                       EventSink &sink, std::function<std::string()> metrics)
+                       BufferBudget &budget, EventSink &sink,
+                       std::function<std::string()> metrics)
     : Loop(loop), Config(settings), Exchanges(exchanges), Back(back),
-      Sink(sink), Metrics(std::move(metrics)) {}
+      Budget(budget), Sink(sink), Metrics(std::move(metrics)) {}
 
 FrontPlain::~FrontPlain() = default;
 
@@ -72,6 +104,12 @@
   Doors[0].Use = Door::Callers;
   Doors[1].Use = Door::Ready;
   Doors[2].Use = Door::Metrics;
+  uv_timer_init(&Loop, &Sweep);
+  uv_timer_init(&Loop, &Turn);
+  Sweep.data = Turn.data = this;
+  TimersOpen = true;
+  if (Budget.bounded())
+    uv_timer_start(&Sweep, &FrontPlain::onSweep, SweepMs, SweepMs);
   return openDoor(Doors[0], daemon.ListenAddress, daemon.ListenPort) &&
          openDoor(Doors[1], daemon.ReadyAddress, daemon.ReadyPort) &&
          openDoor(Doors[2], daemon.MetricsAddress, daemon.MetricsPort);
@@ -93,9 +131,18 @@
   door.Handle.data = &door;
   door.Open = true;
   auto *stream = reinterpret_cast<uv_stream_t *>(&door.Handle);
-  return uv_tcp_bind(&door.Handle, reinterpret_cast<const sockaddr *>(&place),
-                     0) == 0 &&
-         uv_listen(stream, ListenBacklog, &FrontPlain::onConnection) == 0;
+  if (uv_tcp_bind(&door.Handle, reinterpret_cast<const sockaddr *>(&place),
+                  0) != 0)
+    return false;
+  // Accepted connections have the listening socket's bounds.
+  int sending = SocketBufferBytes;
+  int receiving = SocketBufferBytes;
+  auto *handle = reinterpret_cast<uv_handle_t *>(&door.Handle);
+  if (Budget.bounded() && (uv_send_buffer_size(handle, &sending) != 0 ||
+                           uv_recv_buffer_size(handle, &receiving) != 0))
+    logLine(LogLevel::Warning, "socket-buffers-unbounded",
+            {{"port", static_cast<int64_t>(port)}});
+  return uv_listen(stream, ListenBacklog, &FrontPlain::onConnection) == 0;
 }
 
 void FrontPlain::onConnection(uv_stream_t *server, int status) {
@@ -110,22 +157,52 @@
       TcpStream::accept(*server, static_cast<StreamOwner &>(*this));
   if (!stream)
     return;
-  if (Callers.size() >= Config.Bounds.MaxCallerConnections)
+  if (!makeRoom(door))
     return stream->close();
   Caller &it = *Callers.emplace_back(std::make_unique<Caller>());
   it.Stream = stream;
   it.Use = door.Use;
+  it.Buffers.ProgressMs = loopMillis(Loop);
   stream->Context = &it;
+  Stats.Connections = Callers.size();
   beginRequest(it);
   expectProgress(it);
 }
 
+bool FrontPlain::makeRoom(const DoorRow &door) {
+  Gone.clear();
+  size_t most = maxCallers(Config.Bounds);
+  if (door.Use != Door::Callers)
+    most += OperatorConnections;
+  if (Callers.size() < most)
+    return true;
+  // A request head that is not whole has waited longest for its caller.
+  Caller *oldest = nullptr;
+  for (const auto &it : Callers)
+    if (it->HeadSince > 0 && (!oldest || it->HeadSince < oldest->HeadSince))
+      oldest = it.get();
+  if (!oldest) {
+    ++Stats.NotAccepted;
+    logLine(LogLevel::Warning, "caller-closed", {{"reason", "connections"}});
+    return false;
+  }
+  ++Stats.Displaced;
+  logLine(LogLevel::Warning, "caller-closed", {{"reason", "head-incomplete"}});
+  drop(*oldest);
+  return true;
+}
+
 void FrontPlain::close() {
   for (DoorRow &door : Doors)
     if (door.Open) {
       door.Open = false;
       uv_close(reinterpret_cast<uv_handle_t *>(&door.Handle), nullptr);
     }
+  if (TimersOpen) {
+    uv_close(reinterpret_cast<uv_handle_t *>(&Sweep), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t *>(&Turn), nullptr);
+  }
+  TimersOpen = false;
   for (auto &it : Callers)
     it->Stream->close();
   Callers.clear();
@@ -157,45 +234,112 @@
 void FrontPlain::onOpen(TcpStream &) {}
 
 void FrontPlain::onBytes(TcpStream &stream, std::string_view bytes) {
+  Gone.clear();
   auto &it = *static_cast<Caller *>(stream.Context);
   if (it.Lingering || it.Ending)
     return;
   it.In.append(bytes);
+  it.Received += bytes.size();
   readOn(it);
+  if (!it.Stream || it.Ending || it.Throttled || !Budget.full())
+    return;
+  it.Throttled = true;
+  it.Stream->pause();
 }
 
 void FrontPlain::beginRequest(Caller &it) {
   const Limits &bounds = Config.Bounds;
   it.Active = it.RequestRead = false;
+  it.HeadSince = 0;
   it.Body.clear();
+  it.In.trim(IdleBufferBytes);
+  if (it.Body.capacity() > IdleBufferBytes)
+    it.Body = std::string();
   it.Reader = std::make_unique<HttpReader>(
       MessageKind::Request, ReadLimits{bounds.MaxHeaderBytes, bounds.BodyBytes},
       it.Body);
 }
 
 void FrontPlain::readOn(Caller &it) {
-  // A request is read while none waits for its answer.
-  if (it.RequestRead) {
-    if (it.In.size() > PipelineBytes)
-      it.Stream->pause();
+  // A request that is answered at once comes back here: it is the loop below
+  // that reads the next one.
+  if (it.ReadingOn)
     return;
-  }
-  if (!it.Active)
-    while (it.In.starts_with(LineEnd))
-      it.In.erase(0, LineEnd.size());
-  if (it.In.empty())
+  it.ReadingOn = true;
+  int n = 0;
+  while (n < RequestsInTurn && it.Stream && !it.Ending && readStep(it))
+    ++n;
+  it.ReadingOn = false;
+  if (!it.Stream)
     return;
-  size_t n = it.Reader->feed(it.In);
-  it.In.erase(0, n);
-  if (it.Reader->fault() != ReadFault::None)
-    return refuseUnread(it, it.Reader->fault());
-  if (!it.Reader->headRead())
+  if (n == RequestsInTurn)
+    readLater(it);
+  if (!it.Ending && !mayRead(it))
+    it.Stream->pause();
+  else if (!it.Ending)
+    resumeReading(it);
+  account(it);
+}
+
+void FrontPlain::readLater(Caller &it) {
+  if (it.In.unread().empty())
     return;
+  Later.push_back(&it);
+  if (!uv_is_active(reinterpret_cast<uv_handle_t *>(&Turn)))
+    uv_timer_start(&Turn, &FrontPlain::onTurn, 0, 0);
+}
+
+void FrontPlain::onTurn(uv_timer_t *timer) {
+  auto &self = *static_cast<FrontPlain *>(timer->data);
+  self.Gone.clear();
+  for (Caller *it : std::exchange(self.Later, {}))
+    if (it->Stream && !it->Ending)
+      self.readOn(*it);
+}
+
+/// \returns true if the request was answered, so that the next one may start.
+bool FrontPlain::readStep(Caller &it) {
+  std::string_view in = it.In.unread();
+  if (in.empty())
+    return false;
+  // A request is read while none waits for its answer.
+  if (it.RequestRead)
+    return false;
+  if (!it.Active && it.Stream->queued() > UnsentBytes) {
+    it.AwaitsDrain = true;
+    it.Stream->pause();
+    return false;
+  }
+  it.In.consume(it.Reader->feed(in));
+  if (it.Reader->fault() != ReadFault::None) {
+    refuseUnread(it, it.Reader->fault());
+    return false;
+  }
+  if (!it.Reader->headRead()) {
+    if (it.HeadSince == 0)
+      it.HeadSince = loopMillis(Loop);
+    return false;
+  }
+  it.HeadSince = 0;
   it.RequestRead = it.Reader->whole();
   if (!it.Active)
-    return takeHead(it);
-  if (Exchange *exchange = exchangeOf(it))
+    takeHead(it);
+  else if (Exchange *exchange = exchangeOf(it))
     takeBody(it, *exchange);
+  return it.Stream && !it.Active;
+}
+
+/// \returns true if nothing but the budget keeps bytes from being read.
+bool FrontPlain::mayRead(const Caller &it) {
+  const Exchange *exchange = exchangeOf(it);
+  bool bodyWaits = exchange && exchange->BodyPaused;
+  bool pipelineFull = it.In.unread().size() > PipelineBytes;
+  return !bodyWaits && !pipelineFull && !it.AwaitsDrain;
+}
+
+void FrontPlain::resumeReading(Caller &it) {
+  if (!it.Throttled && mayRead(it))
+    it.Stream->resume();
 }
 
 void FrontPlain::takeHead(Caller &it) {
@@ -217,8 +361,11 @@
                                exchange, event);
   if (fault)
     return refuseEarly(exchange, *fault);
-  if (Exchanges.openCount() > bounds.Requests)
+  if (Exchanges.openCount() > bounds.Requests || Budget.tight()) {
+    Stats.RefusedForMemory += Budget.tight() ? 1 : 0;
+    exchange.RetryAfter = RoomRetryAfter;
     return refuseEarly(exchange, RefusalKind::Overloaded);
+  }
   bool keyed = event.Repeat == Repeatability::AtMostOnce &&
                event.IdempotencyKey.present();
   exchange.KeepAnswer = keyed;
@@ -254,7 +401,8 @@
   else
     expectProgress(it);
   Back.bodyGrew(exchange);
-  if (exchange.Held && it.RequestRead) {
+  // A body that is longer than what is kept is no part of the fingerprint.
+  if (exchange.Held && (it.RequestRead || exchange.BodyPaused)) {
     postArrival(exchange, *exchange.Held);
     exchange.Held.reset();
   }
@@ -267,9 +415,10 @@
     return;
   Caller &it = *callerOf(exchange);
   exchange.BodyPaused = false;
-  it.Stream->resume();
+  resumeReading(it);
   if (!it.RequestRead)
     expectProgress(it);
+  account(it);
 }
 
 void FrontPlain::bodyWanted(Exchange &exchange) {
@@ -331,7 +480,14 @@
 }
 
 void FrontPlain::onEnd(TcpStream &stream, StreamEnd) {
+  Gone.clear();
   auto &it = *static_cast<Caller *>(stream.Context);
+  abandon(it);
+  forget(it);
+}
+
+/// Ends the request in progress without an answer.
+void FrontPlain::abandon(Caller &it) {
   if (Exchange *exchange = exchangeOf(it)) {
     exchange->Caller = nullptr;
     if (exchange->Stage != AnswerStage::Refusal)
@@ -340,13 +496,111 @@
     Exchanges.close(*exchange);
   }
   it.Active = false;
-  std::erase_if(Callers, [&](const auto &item) { return item.get() == &it; });
 }
 
 /// Closes a connection in which no request is in progress.
 void FrontPlain::drop(Caller &it) {
   it.Stream->close();
-  std::erase_if(Callers, [&](const auto &item) { return item.get() == &it; });
+  forget(it);
+}
+
+/// Takes a caller off the list whose stream is closed.
+void FrontPlain::forget(Caller &it) {
+  it.Stream = nullptr;
+  Budget.charge(it.Buffers, 0);
+  std::erase(Later, &it);
+  auto at = std::find_if(Callers.begin(), Callers.end(),
+                         [&](const auto &item) { return item.get() == &it; });
+  if (at == Callers.end())
+    return;
+  Gone.push_back(std::move(*at));
+  Callers.erase(at);
+  Stats.Connections = Callers.size();
+}
+
+// Memory.
+
+/// Counts what is buffered for a caller, with what the system may hold.
+void FrontPlain::account(Caller &it) {
+  if (!Budget.bounded())
+    return;
+  size_t queued = it.Stream->queued();
+  uint64_t n = it.In.unread().size() + it.Unread + queued;
+  n += queued > 0 ? SocketBufferBytes : it.Unconfirmed;
+  if (const Exchange *exchange = exchangeOf(it))
+    n += exchange->bufferedBytes();
+  Budget.charge(it.Buffers, n);
+  TcpStream::readSparingly(Budget.full());
+}
+
+/// Notes whether a caller has sent or taken bytes since the last sweep.
+void FrontPlain::sample(Caller &it, uint64_t now) {
+  uint64_t written = it.Stream->written();
+  if (written != it.SampledWritten || it.Unconfirmed > 0)
+    it.Unconfirmed = it.Stream->unconfirmed();
+  bool stopped = it.Throttled || !mayRead(it);
+  it.Unread = stopped ? it.Stream->unread() : 0;
+  uint64_t unsent = it.Stream->queued() + it.Unconfirmed;
+  uint64_t taken = written - unsent;
+  const Exchange *exchange = exchangeOf(it);
+  // It waits for an instance, and has not sent much more in the meantime.
+  bool waits = exchange && unsent == 0 &&
+               (it.RequestRead || exchange->BodyPaused) &&
+               it.In.unread().size() <= UnsentBytes;
+  bool sends = unsent == 0 && it.Received != it.SampledReceived;
+  if (waits || sends || taken != it.SampledTaken)
+    it.Buffers.ProgressMs = now;
+  it.SampledWritten = written;
+  it.SampledTaken = taken;
+  it.SampledReceived = it.Received;
+  account(it);
+}
+
+/// Disconnects callers that hold memory without progress until there is room.
+void FrontPlain::shedStalled(uint64_t now) {
+  std::vector<Caller *> callers;
+  std::vector<BufferHolder> holders;
+  for (const auto &it : Callers) {
+    callers.push_back(it.get());
+    holders.push_back(it->Buffers);
+  }
+  while (Budget.tight()) {
+    auto n = chooseStalled(holders, now);
+    if (!n)
+      return;
+    Caller &it = *callers[*n];
+    logLine(
+        LogLevel::Warning, "caller-closed",
+        {{"reason", "memory"},
+         {"bytes", static_cast<int64_t>(it.Buffers.Bytes)},
+         {"stalled_ms", static_cast<int64_t>(now - it.Buffers.ProgressMs)}});
+    ++Stats.Stalled;
+    abandon(it);
+    it.Stream->reset();
+    forget(it);
+    holders[*n].Bytes = 0;
+  }
+}
+
+void FrontPlain::onSweep(uv_timer_t *timer) {
+  static_cast<FrontPlain *>(timer->data)->sweep();
+}
+
+void FrontPlain::sweep() {
+  Gone.clear();
+  uint64_t now = loopMillis(Loop);
+  for (const auto &it : Callers)
+    sample(*it, now);
+  if (Budget.tight())
+    shedStalled(now);
+  TcpStream::readSparingly(Budget.full());
+  if (Budget.full())
+    return;
+  for (const auto &it : Callers)
+    if (std::exchange(it->Throttled, false) && !it->Ending) {
+      resumeReading(*it);
+      account(*it);
+    }
 }
 
 // Answering.
@@ -400,14 +654,35 @@
 void FrontPlain::answerGrew(Exchange &exchange) {
   if (exchange.Stage == AnswerStage::Body)
     pump(exchange);
+  answerHeld(exchange);
+}
+
+void FrontPlain::answerHeld(Exchange &exchange) {
+  if (Caller *it = callerOf(exchange))
+    account(*it);
 }
 
 void FrontPlain::onDrained(TcpStream &stream) {
   auto &it = *static_cast<Caller *>(stream.Context);
+  Gone.clear();
   if (it.Ending && !it.Lingering)
     return drop(it);
+  if (it.Lingering) {
+    it.Stream->resume();
+    return it.Stream->setDeadline(loopMillis(Loop) + LingerMs);
+  }
   if (Exchange *exchange = exchangeOf(it))
     pump(*exchange);
+  else
+    expectProgress(it);
+  if (!it.Stream)
+    return;
+  if (std::exchange(it.AwaitsDrain, false)) {
+    resumeReading(it);
+    readOn(it);
+  } else {
+    account(it);
+  }
 }
 
 /// Writes as much of the answer as the caller takes.
@@ -430,11 +705,11 @@
   case AnswerStage::Broken:
     // Only a reset shows for certain that the answer is not whole.
     it->Stream->reset();
-    it->Stream = nullptr;
     Back.release(exchange);
     Exchanges.close(exchange);
-    std::erase_if(Callers, [&](const auto &item) { return item.get() == it; });
-    return;
+    exchange.Caller = nullptr;
+    it->Active = false;
+    return forget(*it);
   case AnswerStage::Refusal:
     return writeRefusal(*it, exchange);
   }
@@ -466,13 +741,20 @@
   BackendCall &call = *exchange.Source;
   if (it.Stream->queued() > SendQueueBytes)
     return false;
-  std::string_view rest = call.Answer.unread();
-  bool last = exchange.AnswerWhole;
-  if (exchange.AnswerChunked)
-    it.Stream->write(frameChunk(rest, last));
-  else
-    it.Stream->write(std::string(rest));
-  call.Answer.consume(rest.size());
+  bool last = false;
+  bool more = true;
+  while (more && !last) {
+    std::string_view rest = call.Answer.unread();
+    std::string_view part = rest.substr(0, SendQueueBytes);
+    last = exchange.AnswerWhole && part.size() == rest.size();
+    if (exchange.AnswerChunked)
+      it.Stream->write(frameChunk(part, last));
+    else
+      it.Stream->write(std::string(part));
+    call.Answer.consume(part.size());
+    // What the system did not take goes on in `onDrained`.
+    more = !call.Answer.unread().empty() && it.Stream->queued() == 0;
+  }
   Back.resume(call);
   if (!last && it.RequestRead)
     expectProgress(it);
@@ -513,23 +795,27 @@
     return endCaller(it, !it.RequestRead);
   beginRequest(it);
   expectProgress(it);
-  it.Stream->resume();
+  resumeReading(it);
   // The next request may have come already.
-  readOn(it);
+  if (!it.ReadingOn)
+    readLater(it);
 }
 
 /// Ends a connection after what is queued.
 /// \param unread bytes of the caller's are still to come.
 void FrontPlain::endCaller(Caller &it, bool unread) {
   it.Ending = true;
-  it.Lingering = unread || !it.In.empty();
+  it.Lingering = unread || !it.In.unread().empty();
   it.In.clear();
-  if (it.Lingering) {
-    it.Stream->resume();
-    return it.Stream->setDeadline(loopMillis(Loop) + LingerMs);
+  // The caller has to take what is queued first.
+  if (it.Stream->queued() > 0) {
+    it.Stream->pause();
+    return expectProgress(it);
   }
-  if (it.Stream->queued() == 0)
-    drop(it);
+  if (!it.Lingering)
+    return drop(it);
+  it.Stream->resume();
+  it.Stream->setDeadline(loopMillis(Loop) + LingerMs);
 }
 
 } // namespace guavasail
--- a/src/front_plain.h
+++ b/src/front_plain.h
@@ -4,6 +4,7 @@
 #define GUAVASAIL_SRC_FRONT_PLAIN_H
 
 #include "back_http.h"
+#include "buffer_budget.h"
 #include "event_sink.h"
 #include "exchange.h"
 #include "front_end.h"
@@ -26,8 +27,8 @@
 public:
   /// \param metrics returns the text of the metrics address.
   FrontPlain(uv_loop_t &loop, const Settings &settings,
-             ExchangeTable &exchanges, BackHttp &back, EventSink &sink,
-             std::function<std::string()> metrics);
+             ExchangeTable &exchanges, BackHttp &back, BufferBudget &budget,
+             EventSink &sink, std::function<std::string()> metrics);
   ~FrontPlain() override;
 
   bool open() override;
@@ -38,6 +39,7 @@
   void refuse(const RefuseRequest &effect) override;
   void replay(const ReplayResponse &effect) override;
   void answerGrew(Exchange &exchange) override;
+  void answerHeld(Exchange &exchange) override;
   void bodyDrained(Exchange &exchange) override;
   void bodyWanted(Exchange &exchange) override;
 
@@ -64,7 +66,14 @@
   bool openDoor(DoorRow &door, const std::string &address, uint32_t port);
   void welcome(DoorRow &door);
 
+  /// \returns true if there is a place for another connection.
+  bool makeRoom(const DoorRow &door);
   void readOn(Caller &it);
+  bool readStep(Caller &it);
+  void resumeReading(Caller &it);
+  void readLater(Caller &it);
+  static void onTurn(uv_timer_t *timer);
+  bool mayRead(const Caller &it);
   void beginRequest(Caller &it);
   void takeHead(Caller &it);
   void takeArrival(Caller &it, Exchange &exchange);
@@ -80,6 +89,13 @@
   void endTransaction(Caller &it, Exchange &exchange, bool reuse);
   void endCaller(Caller &it, bool unread);
   void drop(Caller &it);
+  void abandon(Caller &it);
+  void forget(Caller &it);
+  void account(Caller &it);
+  void sample(Caller &it, uint64_t now);
+  void shedStalled(uint64_t now);
+  void sweep();
+  static void onSweep(uv_timer_t *timer);
   void expectProgress(Caller &it);
   Exchange *exchangeOf(const Caller &it);
   static Caller *callerOf(const Exchange &exchange);
@@ -88,10 +104,18 @@
   const Settings &Config;
   ExchangeTable &Exchanges;
   BackHttp &Back;
+  BufferBudget &Budget;
   EventSink &Sink;
   std::function<std::string()> Metrics;
   std::array<DoorRow, 3> Doors{};
   std::vector<std::unique_ptr<Caller>> Callers;
+  /// Callers that are disconnected, until the event that ended them is handled.
+  std::vector<std::unique_ptr<Caller>> Gone;
+  /// Callers whose next pipelined request is read in the loop's next turn.
+  std::vector<Caller *> Later;
+  uv_timer_t Turn{};
+  uv_timer_t Sweep{};
+  bool TimersOpen = false;
 };
 
 } // namespace guavasail
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "http_text.h"
 
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 
 namespace guavasail {
@@ -18,6 +19,9 @@
 constexpr std::string_view ChunkedCoding = "chunked";
 constexpr uint32_t FirstFinalStatus = 200;
 constexpr uint32_t LastStatus = 599;
+constexpr std::string_view LineEnd = "\r\n";
+/// Empty lines that may precede a request. RFC 9112 asks for one at least.
+constexpr uint32_t MaxEmptyLines = 32;
 /// Bytes of a head, a chunk header or trailers that wait for their end.
 constexpr size_t MaxPartialBytes = 64 * 1024;
 
@@ -80,6 +84,11 @@
   MessageHead Head;
   std::string &Body;
   ReadFault Fault = ReadFault::None;
+  /// The first byte of the message was seen, so that a line end belongs to it.
+  bool Begun = false;
+  uint32_t EmptyLines = 0;
+  /// Bytes not used yet in which no folded line was found.
+  size_t Checked = 0;
 };
 
 /// Fills the head and the body from the library's parser.
@@ -156,6 +165,7 @@
     State = std::make_unique<Parser<true>>(limits, body);
   else
     State = std::make_unique<Parser<false>>(limits, body);
+  State->Begun = kind == MessageKind::Answer;
 }
 
 HttpReader::~HttpReader() = default;
@@ -165,21 +175,52 @@
 size_t HttpReader::feed(std::string_view bytes) {
   if (State->Fault != ReadFault::None || State->done() || bytes.empty())
     return 0;
-  if (!State->headDone() &&
-      hasFoldedLine(bytes.substr(0, bytes.find(HeadEnd)))) {
+  size_t blank = State->Begun ? 0 : skipEmptyLines(bytes);
+  bytes.remove_prefix(blank);
+  if (!State->Begun)
+    return blank;
+  if (!State->headDone() && foldsLine(bytes)) {
     State->Fault = ReadFault::Malformed;
-    return 0;
+    return blank;
   }
   error_code ec;
   size_t n = State->put(bytes, ec);
+  State->Checked = bytes.size() - n;
   if (ec && ec != http::error::need_more)
     State->Fault = faultOf(ec);
   else if (!State->done() && bytes.size() - n > MaxPartialBytes)
     State->Fault =
         State->headDone() ? ReadFault::Malformed : ReadFault::HeadTooLarge;
+  return blank + n;
+}
+
+/// Skips empty lines before the message. Once it has begun, a line end is part
+/// of it: the parser may have used all of a head but its last line end.
+/// \returns the number of bytes skipped.
+size_t HttpReader::skipEmptyLines(std::string_view bytes) {
+  size_t n = 0;
+  for (; bytes.substr(n).starts_with(LineEnd); n += LineEnd.size())
+    ++State->EmptyLines;
+  if (State->EmptyLines > MaxEmptyLines)
+    State->Fault = ReadFault::Malformed;
+  std::string_view rest = bytes.substr(n);
+  State->Begun = State->Fault == ReadFault::None && !rest.empty() &&
+                 rest != LineEnd.substr(0, 1);
   return n;
 }
 
+/// Looks at each byte of a head once, however it is cut.
+/// \returns true if \p bytes hold a header line that goes on in the next one.
+bool HttpReader::foldsLine(std::string_view bytes) const {
+  // Behind the last header line comes the body.
+  if (bytes.starts_with(LineEnd))
+    return false;
+  // The end of a head and of a line may have been cut.
+  size_t from = State->Checked - std::min(State->Checked, HeadEnd.size() - 1);
+  from = std::min(from, bytes.size());
+  return hasFoldedLine(bytes.substr(0, bytes.find(HeadEnd, from)).substr(from));
+}
+
 void HttpReader::end() {
   if (State->done() || State->Fault != ReadFault::None)
     return;
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -80,6 +80,9 @@
   MessageHead &head();
 
 private:
+  size_t skipEmptyLines(std::string_view bytes);
+  [[nodiscard]] bool foldsLine(std::string_view bytes) const;
+
   struct Impl;
   template <bool IsRequest> struct Parser;
   std::unique_ptr<Impl> State;
--- a/src/tcp_stream.cpp
+++ b/src/tcp_stream.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace guavasail {
@@ -9,6 +11,10 @@
 namespace {
 
 constexpr size_t ReadBytes = 64 * 1024;
+/// Enough for the head of a usual request.
+constexpr size_t SparingReadBytes = 4 * 1024;
+
+size_t NextReadBytes = ReadBytes;
 
 /// A write in progress and its bytes.
 struct Write {
@@ -32,7 +38,7 @@
 /// One buffer serves all connections: a read is handled before the next one.
 void allocate(uv_handle_t *, size_t, uv_buf_t *buf) {
   static std::array<char, ReadBytes> bytes;
-  *buf = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+  *buf = uv_buf_init(bytes.data(), static_cast<unsigned>(NextReadBytes));
 }
 
 } // namespace
@@ -96,6 +102,7 @@
 void TcpStream::write(std::string bytes) {
   if (Closing || bytes.empty())
     return;
+  Written += bytes.size();
   uv_buf_t buf = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
   size_t sent = 0;
   if (queued() == 0) {
@@ -136,6 +143,32 @@
                 status != UV_ECANCELED;
 }
 
+void TcpStream::boundBuffers(int bytes) {
+  // A failure leaves the system's own bound; there may be no socket yet.
+  int size = bytes;
+  uv_send_buffer_size(handleOf(Tcp), &size);
+  size = bytes;
+  uv_recv_buffer_size(handleOf(Tcp), &size);
+}
+
+void TcpStream::readSparingly(bool sparing) {
+  NextReadBytes = sparing ? SparingReadBytes : ReadBytes;
+}
+
+/// \returns a number of bytes that the system knows, 0 without a socket.
+size_t TcpStream::askSocket(unsigned long request) const {
+  uv_os_fd_t fd = -1;
+  int n = 0;
+  bool known =
+      uv_fileno(reinterpret_cast<const uv_handle_t *>(&Tcp), &fd) == 0 &&
+      ioctl(fd, request, &n) == 0;
+  return known && n > 0 ? static_cast<size_t>(n) : 0;
+}
+
+size_t TcpStream::unconfirmed() const { return askSocket(SIOCOUTQ); }
+
+size_t TcpStream::unread() const { return askSocket(SIOCINQ); }
+
 size_t TcpStream::queued() const { return Tcp.write_queue_size; }
 
 void TcpStream::setDeadline(uint64_t due) {
--- a/src/tcp_stream.h
+++ b/src/tcp_stream.h
@@ -73,6 +73,19 @@
   /// Closes with a reset, so that the peer takes nothing for complete.
   void reset();
 
+  /// Bounds what the system holds of the connection, in each direction.
+  void boundBuffers(int bytes);
+
+  /// Reads in small parts from all connections, or in large ones again.
+  static void readSparingly(bool sparing);
+
+  /// \returns bytes given to `write` so far.
+  [[nodiscard]] uint64_t written() const { return Written; }
+  /// \returns bytes that the system holds because the peer has not confirmed
+  /// them.
+  [[nodiscard]] size_t unconfirmed() const;
+  /// \returns bytes received by the system that were not read.
+  [[nodiscard]] size_t unread() const;
   /// \returns bytes that the system has not taken yet.
   [[nodiscard]] size_t queued() const;
   [[nodiscard]] uv_loop_t &loop() const { return *Tcp.loop; }
@@ -86,6 +99,7 @@
 
   void startReading();
   void noteWrite(int status);
+  [[nodiscard]] size_t askSocket(unsigned long request) const;
   [[nodiscard]] StreamEnd endOfRead() const;
   void finish(StreamEnd end);
   void armTimer(uint64_t due);
@@ -101,6 +115,7 @@
   StreamOwner *Owner;
   uint64_t Due = 0;
   uint64_t Armed = 0;
+  uint64_t Written = 0;
   int Handles = 2;
   bool Closing = false;
   bool CloseAfterWrite = false;
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -502,6 +502,113 @@
                            return std::string(it.param.Name);
                          });
 
+/// A status line of an instance that must never reach a caller.
+struct BadStatusCase {
+  std::string_view Name;
+  std::string_view Status;
+};
+
+const BadStatusCase BadStatuses[] = {
+    {"Zero", "000"},       {"Below", "099"}, {"Above", "600"},
+    {"Highest", "999"},    {"Short", "12"},  {"Long", "1000"},
+    {"LongFinal", "2000"}, {"Sign", "-20"},  {"None", ""},
+};
+
+std::ostream &operator<<(std::ostream &out, const BadStatusCase &row) {
+  return out << row.Name;
+}
+
+class EdgeStatus : public testing::TestWithParam<BadStatusCase> {};
+
+/// A caller could take an impossible status for a success.
+TEST_P(EdgeStatus, OutsideTheRangeIsNotPassedOn) {
+  EdgeDaemon daemon;
+  Wire caller = daemon.dial();
+  caller.send(ask("GET", "/r/x"));
+  std::string answer = "HTTP/1.1 " + std::string(GetParam().Status) +
+                       " Z\r\ncontent-length: 5\r\n\r\nhello";
+  BackendPlayer backend(daemon);
+  backend.play(caller, "GET", {answer});
+  EXPECT_EQ(statusOf(caller.Received), "502") << caller.Received;
+  EXPECT_EQ(caller.Received.find("hello"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EdgeStatus, testing::ValuesIn(BadStatuses),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+/// Requests in two parts, and what the caller gets.
+struct CutRequestCase {
+  std::string_view Name;
+  std::string_view Method;
+  std::string Request;
+  /// Bytes of the first part.
+  size_t Cut = 0;
+};
+
+const std::string CutGet = ask("GET", "/r/x");
+const std::string CutPost = ask("POST", "/r/x", "content-length: 3\r\n");
+
+const CutRequestCase CutRequests[] = {
+    {"LastLineEnd", "GET", CutGet, CutGet.size() - 1},
+    {"LastLineEndBeforeBody", "POST", CutPost + "abc", CutPost.size() - 1},
+    {"EmptyLineBefore", "GET", "\r\n" + CutGet, 1},
+};
+
+std::ostream &operator<<(std::ostream &out, const CutRequestCase &row) {
+  return out << row.Name;
+}
+
+class EdgeCut : public testing::TestWithParam<CutRequestCase> {};
+
+/// A head that was split between its last CR and LF was never answered.
+TEST_P(EdgeCut, IsAnswered) {
+  const CutRequestCase &row = GetParam();
+  EdgeDaemon daemon;
+  Wire caller = daemon.dial();
+  // The daemon answers another connection after it has read the first part.
+  caller.send(row.Request.substr(0, row.Cut));
+  Wire other = daemon.dial();
+  other.send("GET /-/alive HTTP/1.1\r\nhost: h\r\n\r\n");
+  EXPECT_TRUE(other.receive());
+  caller.send(row.Request.substr(row.Cut));
+  BackendPlayer backend(daemon);
+  EXPECT_TRUE(backend.play(caller, row.Method, {Ok}));
+  EXPECT_EQ(statusOf(caller.Received), "200") << caller.Received;
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EdgeCut, testing::ValuesIn(CutRequests),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+/// A refusal of a request whose id is not UTF-8 ended the process: its body is
+/// JSON. Both encodings of the log have the id, too.
+class EdgeForeignId : public testing::TestWithParam<std::string_view> {};
+
+TEST_P(EdgeForeignId, IsRefused) {
+  EdgeDaemon daemon(
+      {.Daemon = "log_format = \"" + std::string(GetParam()) + "\""});
+  for (std::string_view id : {"Pe\xf1"
+                              "a",
+                              "\xff\xfe", "\xc3"}) {
+    Wire caller = daemon.dial();
+    caller.send(
+        ask("GET", "/none", "x-request-id: " + std::string(id) + "\r\n"));
+    while (!wholeAnswer(caller.Received, "GET") && caller.receive()) {
+    }
+    EXPECT_EQ(statusOf(caller.Received), "404") << caller.Received;
+    EXPECT_NE(caller.Received.find("x-request-id: " + std::string(id)),
+              std::string::npos);
+  }
+  EXPECT_TRUE(daemon.Process->running());
+}
+
+INSTANTIATE_TEST_SUITE_P(Formats, EdgeForeignId,
+                         testing::Values("text", "json"),
+                         [](const auto &it) { return std::string(it.param); });
+
 } // namespace
 
 } // namespace guavasail
