--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -141,8 +141,8 @@
   if (!bucket)
     return;
   refill(*bucket, now);
-  bucket->Tokens = std::min<double>(std::max(bucket->Limit.Burst, 1U),
-                                    bucket->Tokens + 1);
+  bucket->Tokens =
+      std::min<double>(std::max(bucket->Limit.Burst, 1U), bucket->Tokens + 1);
   admitWaiting(*bucket, now);
 }
 
--- a/src/reducer_quota.cpp
+++ b/src/reducer_quota.cpp
@@ -68,6 +68,7 @@
   }
   switch (reply.Verdict) {
   case QuotaVerdict::Admitted:
+    request->HoldsToken = true;
     request->TokenGranter = from;
     request->Phase = RequestPhase::AttemptRunning;
     return beginRun(*request, step);
@@ -112,7 +113,7 @@
 
 /// Returns the token of a request that ends without having run.
 void ReducerState::returnUnusedToken(const Request &request, Step &step) {
-  if (!request.TokenGranter.valid() || request.MayHaveRun)
+  if (!request.HoldsToken || request.MayHaveRun)
     return;
   uint64_t key = rendezvousKey(Catalog.name(request.Workspace), 0);
   returnToken(request.TokenGranter, {key, request.Self}, step);
