--- a/bench/bench_balance.cpp
+++ b/bench/bench_balance.cpp
@@ -61,9 +61,9 @@
   CatalogIndex index;
   index.accept(catalog);
   DispatchPool pool(placement, EjectionKind::Learned, Seed);
-  pool.acceptCatalog(index, ServiceHandle{0});
-  std::deque<std::pair<uint64_t, uint32_t>> grants;
   Instant now{std::chrono::seconds(1000)};
+  pool.acceptCatalog(index, ServiceHandle{0}, now);
+  std::deque<std::pair<uint64_t, uint32_t>> grants;
   auto elapsed = std::chrono::steady_clock::duration::zero();
   for (uint32_t n = 0; n < ChoiceCount; ++n) {
     now += std::chrono::microseconds(800);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -101,7 +101,7 @@
   CatalogIndex index;
   index.accept(catalog);
   DispatchPool pool(PlacementKind::Even, EjectionKind::Learned, 1);
-  pool.acceptCatalog(index, ServiceHandle{0});
+  pool.acceptCatalog(index, ServiceHandle{0}, Start);
   Instant now = Start;
   for (uint32_t n = 0; n < 20; ++n, now += milliseconds(300)) {
     PoolInstance *it = pool.choose({VmHandle{1}, ZoneHandle{0}}, now);
@@ -176,7 +176,7 @@
   CatalogIndex index;
   index.accept(catalog);
   DispatchPool pool(PlacementKind::Even, EjectionKind::Learned, 1);
-  pool.acceptCatalog(index, ServiceHandle{0});
+  pool.acceptCatalog(index, ServiceHandle{0}, Start);
   EXPECT_FALSE(pool.loadSummary(Start));
   PoolInstance *it = pool.choose({VmHandle{1}, ZoneHandle{0}}, Start);
   for (uint32_t n = 0; n < 6; ++n)
