--- a/tests/untrusted_caller_test.cpp
+++ b/tests/untrusted_caller_test.cpp
@@ -65,10 +65,16 @@
      {.Repeated = std::string(Ordinary),
       .Repeats = 400,
       .AnswerBytes = LargeAnswerBytes}},
-    {"LargeReadSlowly",
+    {"KeptReadSlowly",
      {.Opening = std::string(Ordinary),
       .ReadBytes = 512,
       .AnswerBytes = KeptAnswerBytes}},
+    // Larger than `answer_buffer_bytes`: slow callers hold all connections to
+    // the instance.
+    {"LargeReadSlowly",
+     {.Opening = std::string(Ordinary),
+      .ReadBytes = 512,
+      .AnswerBytes = LargeAnswerBytes}},
 };
 
 std::ostream &operator<<(std::ostream &out, const CrowdCase &row) {
