Bound rates and retries across losses of owners

Callers got 429 inside their rate after the loss of any VM, and callers outside it got more than the rate allows when owners were killed; retries exceeded the budget of a service when its owner was killed while instances rejected.

Cause: each change of the fleet emptied the buckets and scaled all rates; yet a successor that had not detected the change started with a full bucket, and with the whole retry slack.

A bucket now holds tokens from the time since which its VM may have been the only owner, by the VMs that precede it for the key. A VM that is not the owner by its own view admits from a spare share whose sum over the fleet is bounded. The budget of a service's new owner grows from none over one window.

Tests: Quota.IsNeverExceededAcrossOwners sets standings, since a change of the fleet no longer empties buckets; Quota.LocalShareIsAFractionOfTheRate is replaced by SpareShare, which checks the sum over a whole fleet, since the share of one VM is no longer a fraction of the rate. owner_test (9) and the dispatch and place tests (103) pass in a debug build. The tests were not run on the earlier code.

--- a/include/guavasail/member.h
+++ b/include/guavasail/member.h
@@ -72,6 +72,9 @@
   bool DirectlyReachable = true;
   /// When `State` last changed.
   Instant StateChangedAt{};
+  /// When the VM was last taken for running: when its state last changed from
+  /// `Alive` or `Unknown` to another one; epoch if never.
+  Instant AliveUntil{};
   /// Processor of the VM, in percent of a core; 0 if unknown.
   uint32_t CpuPercent = 0;
 };
@@ -111,6 +114,10 @@
   bool SelfRemoved = false;
   /// Least processor of the VMs that do work for the whole fleet.
   uint32_t MinSharedWorkCpuPercent = 0;
+  /// When `MinSharedWorkCpuPercent` last changed.
+  Instant SharedWorkChangedAt{};
+  /// Grows with each change that may move the ownership of a key.
+  uint64_t Version = 0;
 
   /// \returns true if \p vm has enough processor to do work for the whole
   /// fleet.
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -96,6 +96,20 @@
   return it == Services.end() ? nullptr : &*it;
 }
 
+bool Dispatcher::needsOwnership(uint64_t service, uint64_t version) {
+  Service *it = find(service);
+  return it && it->FleetVersion != version;
+}
+
+void Dispatcher::setOwnership(uint64_t service, Instant since,
+                              uint64_t version) {
+  Service *it = find(service);
+  if (!it)
+    return;
+  it->Budget.setOwnedSince(since);
+  it->FleetVersion = version;
+}
+
 QueueLoad Dispatcher::queueLoad(const Service &service, Instant now) const {
   return {service.Pool.typicalLatency(), service.Pool.capacity(now)};
 }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -43,9 +43,9 @@
   std::vector<Entry> Entries;
 };
 
-/// \returns the part of a service's slack that one owner may use. Around a
-/// change of ownership two of them count for themselves, and VMs that reach
-/// neither place a few requests.
+/// \returns the part of a service's slack that one owner may use. In the window
+/// of a change of ownership the old owner may use its part, and all successors
+/// together another one; the rest covers owners that overlap for some seconds.
 constexpr uint32_t ownerSlack(uint32_t slack) {
   constexpr uint32_t OwnerPercent = 40;
   return slack * OwnerPercent / 100;
@@ -59,6 +59,15 @@
   /// Updates services and instances from \p catalog.
   void acceptCatalog(const CatalogIndex &catalog, Instant now);
 
+  /// \returns true if the ownership of \p service has to be set for version
+  /// \p version of the fleet.
+  [[nodiscard]] bool needsOwnership(uint64_t service, uint64_t version);
+
+  /// Sets since when this VM may have been the only owner of \p service,
+  /// `NeverInstant` while it is not the owner.
+  /// \param version version of the fleet to which \p since applies.
+  void setOwnership(uint64_t service, Instant since, uint64_t version);
+
   /// Handles a placement request. Replies at once; the reply to a queued
   /// request follows when a slot is free or the request is refused.
   /// \param zone zone of the requesting VM.
@@ -99,6 +108,8 @@
     DispatchPool Pool;
     DispatchQueue Queue;
     RetryBudget Budget;
+    /// Version of the fleet to which the budget's ownership applies.
+    uint64_t FleetVersion = 0;
     CrashTracker Crashes;
   };
 
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -37,6 +37,11 @@
   return state == VmState::Gone || state == VmState::Removed;
 }
 
+/// \returns true if a VM in \p state has not been found unreachable.
+bool mayRun(VmState state) {
+  return state == VmState::Alive || state == VmState::Unknown;
+}
+
 bool isUsable(const VmSpec &spec) {
   return !spec.Name.empty() && spec.Name.size() <= MaxNameBytes &&
          spec.Address.size() <= MaxNameBytes &&
@@ -68,8 +73,10 @@
   entry.Region = spec.Region;
   bool changed = entry.CpuPercent != spec.CpuPercent;
   entry.CpuPercent = spec.CpuPercent;
-  if (changed || it == Names.end())
-    updateSharedWork();
+  if (changed || it == Names.end()) {
+    ++Version;
+    updateSharedWork(now);
+  }
   return vm;
 }
 
@@ -113,10 +120,13 @@
   entry.Incarnation = incarnation;
   if (!changed)
     return;
+  if (mayRun(before))
+    entry.AliveUntil = now;
+  ++Version;
   entry.StateChangedAt = now;
   rebuildLive();
   if (before == VmState::Removed || state == VmState::Removed)
-    updateSharedWork();
+    updateSharedWork(now);
 }
 
 void MemberTable::updateLastHeard(VmHandle vm, Instant now) {
@@ -148,18 +158,22 @@
   return it == Zones.end() ? Zones.emplace_back(ZoneEntry{zone}) : *it;
 }
 
-void MemberTable::updateSharedWork() {
+void MemberTable::updateSharedWork(Instant now) {
   std::vector<uint32_t> shares;
   for (const VmEntry &it : Vms)
     if (!it.Name.empty() && it.State != VmState::Removed)
       shares.push_back(it.CpuPercent);
-  MinSharedWorkCpuPercent = 0;
+  uint32_t least = 0;
   size_t count = std::max(MinStrongVms, shares.size() / VmsPerStrongVm);
-  if (shares.size() <= count)
+  if (shares.size() > count) {
+    auto last = shares.begin() + static_cast<std::ptrdiff_t>(count) - 1;
+    std::nth_element(shares.begin(), last, shares.end(), std::greater<>());
+    least = *last / 2;
+  }
+  if (least == MinSharedWorkCpuPercent)
     return;
-  auto last = shares.begin() + static_cast<std::ptrdiff_t>(count) - 1;
-  std::nth_element(shares.begin(), last, shares.end(), std::greater<>());
-  MinSharedWorkCpuPercent = *last / 2;
+  MinSharedWorkCpuPercent = least;
+  SharedWorkChangedAt = now;
 }
 
 void MemberTable::rebuildLive() {
@@ -183,6 +197,8 @@
   view.Zones = Zones;
   view.LastHeard = LastHeard;
   view.MinSharedWorkCpuPercent = MinSharedWorkCpuPercent;
+  view.SharedWorkChangedAt = SharedWorkChangedAt;
+  view.Version = Version;
   return view;
 }
 
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -72,7 +72,7 @@
 
   VmHandle allocate();
   void rebuildLive();
-  void updateSharedWork();
+  void updateSharedWork(Instant now);
   ZoneEntry &zoneOf(ZoneHandle zone);
 
   std::unordered_map<std::string, VmHandle, NameHash, std::equal_to<>> Names;
@@ -83,6 +83,8 @@
   VmHandle Self;
   Instant LastHeard{};
   uint32_t MinSharedWorkCpuPercent = 0;
+  Instant SharedWorkChangedAt{};
+  uint64_t Version = 0;
 };
 
 } // namespace guavasail
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -3,6 +3,7 @@
 #include "duration_math.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace guavasail {
 
@@ -13,13 +14,32 @@
 constexpr Duration MaxWait = std::chrono::milliseconds(120);
 constexpr size_t MaxWaiting = 32;
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
+/// Retry delay when the spare share is exhausted; by then the next owner has
+/// most likely detected the loss of the previous one.
+constexpr Duration SpareRetryAfter = std::chrono::milliseconds(400);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(3);
-/// An owner that got a request this shortly before a change of the fleet has
-/// not lost its ownership.
-constexpr Duration HandoverTime = std::chrono::milliseconds(400);
+/// The rate rule allows this excess in any `RuleWindow`: a fraction of the
+/// requests within the limit, plus a number of requests.
+constexpr double ToleratedFraction = 0.1;
+constexpr double ToleratedRequests = 20;
+constexpr double RuleWindowSeconds = 5;
+/// Fraction of the excess for all spare shares together. The rest is left for
+/// the time in which an old and a new owner both admit requests.
+constexpr double SpareFraction = 0.5;
 /// Slows the refill, since the clocks of VMs drift by less than 0.1%.
 constexpr double ClockDriftFactor = 0.999;
 
+/// \returns the requests that a VM may admit within `RuleWindowSeconds` without
+/// being the owner. Each VM gets half of what the one before it gets, so that
+/// the sum is bounded for a fleet of any size.
+double spareRequests(const QuotaLimit &limit, const OwnerStanding &standing) {
+  constexpr uint32_t MaxRank = 64;
+  double allowed = limit.RatePerSecond * RuleWindowSeconds + limit.Burst;
+  double excess = allowed * ToleratedFraction + ToleratedRequests;
+  auto rank = static_cast<int>(std::clamp(standing.Preceding, 1U, MaxRank));
+  return std::ldexp(excess * SpareFraction, -rank);
+}
+
 } // namespace
 
 void QuotaTable::setLimits(std::span<const QuotaLimit> limits, bool full,
@@ -35,7 +55,7 @@
     bool isNew = bucket.RefilledAt == Instant{};
     bucket.Limit = it;
     bucket.RefilledAt = isNew ? now : bucket.RefilledAt;
-    bucket.LocalRefilledAt = isNew ? now : bucket.LocalRefilledAt;
+    bucket.SpareRefilledAt = isNew ? now : bucket.SpareRefilledAt;
     bucket.Tokens = std::min<double>(bucket.Tokens, it.Burst);
     buckets.push_back(std::move(bucket));
   }
@@ -64,15 +84,58 @@
 
 void QuotaTable::refill(Bucket &bucket, Instant now) const {
   double capacity = std::max(bucket.Limit.Burst, 1U);
-  double rate = bucket.Limit.RatePerSecond * ClockDriftFactor;
-  bucket.Tokens =
-      std::min(capacity, bucket.Tokens +
-                             rate * Share * inSeconds(now - bucket.RefilledAt));
+  if (!bucket.Standing.isOwner(now)) {
+    bucket.Tokens = 0;
+    bucket.RefilledAt = now;
+    return;
+  }
+  if (bucket.RefilledAt < bucket.Standing.OnlySince) {
+    bucket.Tokens = 0;
+    bucket.RefilledAt = bucket.Standing.OnlySince;
+  }
+  double rate = bucket.Limit.RatePerSecond * ClockDriftFactor * Share;
+  bucket.Tokens = std::min(
+      capacity, bucket.Tokens + rate * inSeconds(now - bucket.RefilledAt));
   bucket.RefilledAt = now;
-  bucket.LocalTokens = std::min(
-      1.0, bucket.LocalTokens +
-               rate * LocalShare * inSeconds(now - bucket.LocalRefilledAt));
-  bucket.LocalRefilledAt = now;
+}
+
+/// Takes a token of the spare share.
+/// \returns false if there is none.
+bool QuotaTable::takeSpare(Bucket &bucket, Instant now) const {
+  // Half of the requests at once and half over the window.
+  double half = spareRequests(bucket.Limit, bucket.Standing) * Share / 2;
+  double elapsed = inSeconds(now - bucket.SpareRefilledAt);
+  bucket.SpareRefilledAt = now;
+  bucket.SpareTokens =
+      std::min(half, bucket.SpareTokens + half * elapsed / RuleWindowSeconds);
+  if (bucket.SpareTokens < 1)
+    return false;
+  bucket.SpareTokens -= 1;
+  return true;
+}
+
+void QuotaTable::setShare(double share, Instant now) {
+  if (share == Share)
+    return;
+  for (Bucket &it : Buckets)
+    refill(it, now);
+  Share = share;
+}
+
+bool QuotaTable::needsStanding(uint64_t workspace, uint64_t version) const {
+  const Bucket *bucket = find(workspace);
+  return bucket && bucket->FleetVersion != version;
+}
+
+void QuotaTable::setStanding(uint64_t workspace, const OwnerStanding &standing,
+                             uint64_t version, Instant now) {
+  Bucket *bucket = find(workspace);
+  if (!bucket)
+    return;
+  bucket->Standing = standing;
+  bucket->FleetVersion = version;
+  if (!standing.isOwner(now))
+    rejectWaiting(*bucket, QuotaVerdict::Refused);
 }
 
 Duration QuotaTable::timeUntilTokens(const Bucket &bucket,
@@ -90,13 +153,13 @@
   Bucket *bucket = find(request.Workspace);
   if (!bucket)
     return reply(from, request, QuotaVerdict::NotOwner);
-  bool ownerMayHaveChanged = ChangedAt > bucket->LastRequestAt + HandoverTime;
-  if (ownerMayHaveChanged) {
-    bucket->Tokens = 0;
-    bucket->RefilledAt = ChangedAt;
-  }
-  bucket->LastRequestAt = now;
   refill(*bucket, now);
+  if (!bucket->Standing.isOwner(now)) {
+    bool admitted = takeSpare(*bucket, now);
+    return reply(from, request,
+                 admitted ? QuotaVerdict::Admitted : QuotaVerdict::Refused,
+                 admitted ? Duration::zero() : SpareRetryAfter);
+  }
   admitWaiting(*bucket, now);
   auto ahead = static_cast<double>(bucket->Queue.size());
   if (bucket->Queue.empty() && bucket->Tokens >= 1) {
@@ -117,11 +180,9 @@
   Bucket *bucket = find(request.Workspace);
   if (!bucket || bucket->Limit.RatePerSecond == 0)
     return {request.Workspace, request.Request, QuotaVerdict::Admitted, {}};
-  refill(*bucket, now);
-  if (bucket->LocalTokens < 1)
+  if (!takeSpare(*bucket, now))
     return {request.Workspace, request.Request, QuotaVerdict::Refused,
-            MinRetryAfter * 2};
-  bucket->LocalTokens -= 1;
+            SpareRetryAfter};
   return {request.Workspace, request.Request, QuotaVerdict::Admitted, {}};
 }
 
@@ -138,21 +199,24 @@
 
 void QuotaTable::returnToken(const QuotaReturn &unused, Instant now) {
   Bucket *bucket = find(unused.Workspace);
-  if (!bucket)
+  if (!bucket || !bucket->Standing.isOwner(now))
     return;
   refill(*bucket, now);
-  bucket->Tokens = std::min<double>(std::max(bucket->Limit.Burst, 1U),
-                                    bucket->Tokens + 1);
+  bucket->Tokens =
+      std::min<double>(std::max(bucket->Limit.Burst, 1U), bucket->Tokens + 1);
   admitWaiting(*bucket, now);
 }
 
+void QuotaTable::rejectWaiting(Bucket &bucket, QuotaVerdict verdict) {
+  for (const Waiting &it : bucket.Queue)
+    reply(it.Vm, {bucket.Limit.Key, it.Request}, verdict, SpareRetryAfter);
+  Queued -= bucket.Queue.size();
+  bucket.Queue.clear();
+}
+
 void QuotaTable::resign() {
-  for (Bucket &bucket : Buckets) {
-    for (const Waiting &it : bucket.Queue)
-      reply(it.Vm, {bucket.Limit.Key, it.Request}, QuotaVerdict::NotOwner);
-    bucket.Queue.clear();
-  }
-  Queued = 0;
+  for (Bucket &it : Buckets)
+    rejectWaiting(it, QuotaVerdict::NotOwner);
 }
 
 void QuotaTable::advance(Instant now) {
--- a/src/quota.h
+++ b/src/quota.h
@@ -7,6 +7,7 @@
 #include "guavasail/clock.h"
 #include "guavasail/dispatch.h"
 #include "guavasail/handle.h"
+#include "rendezvous.h"
 
 #include <cstdint>
 #include <deque>
@@ -31,9 +32,10 @@
   QuotaReply Reply;
 };
 
-/// Token buckets of all workspaces. A bucket is used only while this VM owns
-/// the workspace. It starts empty, since the previous owner may have just
-/// admitted a whole burst.
+/// Token buckets of all workspaces. A bucket holds only tokens from the time
+/// since which this VM may have been the workspace's only owner: the previous
+/// owner may have admitted a whole burst just before. While this VM is not the
+/// owner by its own view, it admits from a small spare share.
 class QuotaTable {
 public:
   /// Replaces the limits; buckets of known workspaces are kept.
@@ -41,29 +43,31 @@
   /// VM without peers; new buckets then start full.
   void setLimits(std::span<const QuotaLimit> limits, bool full, Instant now);
 
-  /// Called when the fleet changed. Another VM may have owned a workspace
-  /// before, so tokens saved up since the workspace's last request are dropped.
-  /// \param share fraction of each rate that this VM may admit as an owner,
-  /// from 0 to 1: the part of the fleet that it can reach.
-  void setShare(double share, Instant now) {
-    Share = share;
-    ChangedAt = now;
-  }
+  /// Sets the fraction of each rate that this VM may admit as an owner, from 0
+  /// to 1.
+  void setShare(double share, Instant now);
 
-  /// Sets the fraction of each rate that this VM admits for its own requests
-  /// when no owner can be reached.
-  void setLocalShare(double share) { LocalShare = share; }
+  /// \returns true if the standing of this VM for \p workspace has to be set
+  /// for version \p version of the fleet.
+  [[nodiscard]] bool needsStanding(uint64_t workspace, uint64_t version) const;
+
+  /// Sets how this VM stands among the owners of \p workspace. Refuses waiting
+  /// requests if it is not the owner.
+  /// \param version version of the fleet to which \p standing applies.
+  void setStanding(uint64_t workspace, const OwnerStanding &standing,
+                   uint64_t version, Instant now);
 
   [[nodiscard]] bool isLimited(uint64_t workspace) const;
 
   /// Handles a quota request. The reply comes at once or from `advance`.
   void acquire(VmHandle from, const QuotaRequest &request, Instant now);
 
-  /// Admits a request from this VM's local share, when no owner can be reached.
+  /// Admits a request from this VM's spare share, when no owner can be reached.
   [[nodiscard]] QuotaReply acquireLocal(const QuotaRequest &request,
                                         Instant now);
 
-  /// Takes back the token of a request that was admitted and has not run.
+  /// Takes back the token of a request that was admitted and has not run. The
+  /// token is dropped if this VM is no longer the owner.
   void returnToken(const QuotaReturn &unused, Instant now);
 
   /// Gives up ownership: replies `NotOwner` to all waiting requests.
@@ -84,16 +88,19 @@
     QuotaLimit Limit;
     double Tokens = 0;
     Instant RefilledAt{};
-    double LocalTokens = 0;
-    Instant LocalRefilledAt{};
-    /// When the last quota request arrived.
-    Instant LastRequestAt{};
+    double SpareTokens = 0;
+    Instant SpareRefilledAt{};
+    OwnerStanding Standing;
+    /// Version of the fleet to which `Standing` applies.
+    uint64_t FleetVersion = 0;
     std::deque<Waiting> Queue;
   };
 
   Bucket *find(uint64_t workspace);
   [[nodiscard]] const Bucket *find(uint64_t workspace) const;
   void refill(Bucket &bucket, Instant now) const;
+  bool takeSpare(Bucket &bucket, Instant now) const;
+  void rejectWaiting(Bucket &bucket, QuotaVerdict verdict);
   [[nodiscard]] Duration timeUntilTokens(const Bucket &bucket,
                                          double tokens) const;
   void admitWaiting(Bucket &bucket, Instant now);
@@ -107,8 +114,6 @@
   size_t Queued = 0;
   std::vector<QuotaOutput> Out;
   double Share = 1;
-  double LocalShare = 0;
-  Instant ChangedAt{};
 };
 
 } // namespace guavasail
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -87,6 +87,9 @@
       Rates(init.Rates), Dispatch(init.Dispatch), Presence(init.Presence),
       Fleet(init.Fleet), Zone(Catalog.zone(init.Zone)) {
   Records.setSelf(Self);
+  if (Fleet == FleetKind::Owners && init.Self.PeerPort > 0)
+    AvailableSince = NeverInstant;
+  ListsFromStore = init.UsesStore;
 }
 
 void ReducerState::onCatalogAccepted(const CatalogAccepted &event, Step &step) {
@@ -143,6 +146,7 @@
   resumeAdmission(step);
   if (nextHealthTick() <= step.Now)
     onHealthTick(step);
+  updateAvailability(step);
   if (Members.nextDue() <= step.Now)
     Members.advance({step.Now, step.Effects});
   onConfigTick(step);
--- a/src/reducer_place.cpp
+++ b/src/reducer_place.cpp
@@ -1,9 +1,11 @@
 /// \file
 /// Placement by the owners of services: requests for slots, grants, hedging,
 /// and failover when an owner does not respond.
+#include "member_times.h"
 #include "reducer_state.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace guavasail {
 
@@ -14,6 +16,13 @@
 /// Time for the reply of an owner in another zone, waiting in its queue
 /// excluded. TCP retransmits a lost packet after 200 ms at the earliest.
 constexpr Duration OwnerTimeout = std::chrono::milliseconds(320);
+/// Time until the other VMs know that this one runs again. Until then they may
+/// act as the owners of what it owns.
+constexpr Duration TakeoverDelay = std::chrono::seconds(2);
+/// Time for which a VM that precedes this one is taken for running after it was
+/// last seen alive. It may have been suspected falsely, or be the owner in
+/// another part of a partitioned fleet that has not yet noticed the partition.
+constexpr Duration HandoverDelay = std::chrono::milliseconds(500);
 /// Consecutive timeouts after which an owner is skipped.
 constexpr uint8_t MaxOwnerTimeouts = 2;
 /// Time between two checks that the owner still queues a request.
@@ -76,6 +85,59 @@
   return owner.valid() ? owner : members.Self;
 }
 
+/// Updates since when this VM may act as an owner.
+void ReducerState::updateAvailability(Step &step) {
+  if (AvailableSince == Instant{})
+    return;
+  MemberView members = Members.view();
+  Instant since = AvailableSince;
+  if (since == NeverInstant) {
+    bool known =
+        !ListsFromStore || members.HasPeers || members.at(members.Self).Listed;
+    if (known)
+      since = step.Now + TakeoverDelay;
+  } else {
+    if (members.DeclaredGoneAt != Instant{})
+      since = std::max(since, members.DeclaredGoneAt + TakeoverDelay);
+    // During a pause other VMs may have taken over.
+    if (step.Now - Members.nextDue() > PauseThreshold)
+      since = std::max(since, step.Now);
+  }
+  if (since == AvailableSince)
+    return;
+  AvailableSince = since;
+  ++AvailabilityChanges;
+}
+
+/// \returns how this VM stands among the owners of \p key.
+OwnerStanding ReducerState::standingFor(uint64_t key) const {
+  if (AvailableSince == Instant{})
+    return {};
+  // While the other VMs are unknown, any number of them may precede this one.
+  if (AvailableSince == NeverInstant)
+    return {std::numeric_limits<uint32_t>::max(), NeverInstant};
+  OwnerStanding standing = ownerStanding(key ^ OwnerPurpose, Members.view());
+  standing.OnlySince =
+      std::max(standing.OnlySince + HandoverDelay, AvailableSince);
+  return standing;
+}
+
+/// \returns a number that grows when the result of `standingFor` may change.
+uint64_t ReducerState::ownershipVersion() const {
+  return Members.view().Version + AvailabilityChanges;
+}
+
+void ReducerState::updateServiceOwnership(uint64_t service, Step &step) {
+  updateAvailability(step);
+  uint64_t version = ownershipVersion();
+  if (!Dispatch.needsOwnership(service, version))
+    return;
+  OwnerStanding standing = standingFor(service);
+  Dispatch.setOwnership(
+      service, standing.Preceding > 0 ? NeverInstant : standing.OnlySince,
+      version);
+}
+
 void ReducerState::skipOwner(VmHandle vm, Step &step) {
   if (!vm.valid() || vm == Members.view().Self)
     return;
@@ -162,6 +224,7 @@
   request.AskedVm = owner;
   request.LastAskedAt = step.Now;
   if (owner == self) {
+    updateServiceOwnership(placement.Service, step);
     Dispatch.onPlacementRequest(self, Zone, placement, step.Now);
     return flushPlacement(step);
   }
@@ -203,6 +266,7 @@
     step.Effects.push(SendPeer{from, reply});
     return;
   }
+  updateServiceOwnership(message.Service, step);
   Dispatch.onPlacementRequest(from, Members.entry(from).Zone, message,
                               step.Now);
   flushPlacement(step);
@@ -368,6 +432,7 @@
     step.Effects.push(SendPeer{request->AskedVm, placement});
     return;
   }
+  updateServiceOwnership(placement.Service, step);
   Dispatch.onPlacementRequest(self, Zone, placement, step.Now);
   flushPlacement(step);
 }
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -139,6 +139,11 @@
   /// \param skip a VM to exclude because it did not reply, invalid for none.
   [[nodiscard]] VmHandle resolveOwner(uint64_t key, VmHandle skip,
                                       Instant now) const;
+  void updateAvailability(Step &step);
+  [[nodiscard]] OwnerStanding standingFor(uint64_t key) const;
+  [[nodiscard]] uint64_t ownershipVersion() const;
+  void updateServiceOwnership(uint64_t service, Step &step);
+  void updateQuotaStanding(uint64_t workspace, Step &step);
   void skipOwner(VmHandle vm, Step &step);
   void noteOwnerTimeout(VmHandle vm, Step &step);
   void noteOwnerReply(VmHandle vm);
@@ -220,8 +225,16 @@
   std::vector<RequestHandle> AdmissionWaiters;
   Dispatcher Dispatch;
   QuotaTable Quotas;
-  uint32_t QuotaListedVms = 0;
+  /// VMs alive at the last check of the fleet, and when fewer were first seen.
   uint32_t QuotaAliveVms = 0;
+  Instant LastLossAt{};
+  /// Since when this VM may act as an owner: after a start, or after it was
+  /// taken for gone, other VMs act as the owners for a moment. `NeverInstant`
+  /// while the other VMs are unknown, epoch without a fleet.
+  Instant AvailableSince{};
+  uint64_t AvailabilityChanges = 0;
+  /// True if the list of VMs is read from the store, after the start.
+  bool ListsFromStore = false;
   VmRegistration Presence;
   FleetKind Fleet;
   /// Instances by the hash of their name.
--- a/src/rendezvous.h
+++ b/src/rendezvous.h
@@ -11,6 +11,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <span>
 #include <string_view>
@@ -85,6 +86,46 @@
   return owner;
 }
 
+/// How a VM stands among the possible owners of a key.
+struct OwnerStanding {
+  /// VMs that precede this one and may be running; 0 if this VM is the owner.
+  uint32_t Preceding = 0;
+  /// Since when no VM that precedes this one can have acted as the owner.
+  Instant OnlySince{};
+
+  /// \returns true if this VM may act as the only owner.
+  [[nodiscard]] bool isOwner(Instant now) const {
+    return Preceding == 0 && now >= OnlySince;
+  }
+};
+
+/// Finds how the view's own VM stands among the possible owners of a key.
+/// Strong VMs precede weak ones, then greater weights precede smaller ones.
+/// \param key key of what is owned, see `rendezvousKey`.
+/// \param members the known VMs; `Self` has to be valid.
+inline OwnerStanding ownerStanding(uint64_t key, const MemberView &members) {
+  OwnerStanding standing;
+  standing.OnlySince = members.SharedWorkChangedAt;
+  const VmEntry &self = members.at(members.Self);
+  bool selfStrong = members.isStrong(self);
+  uint64_t selfWeight = rendezvousWeight(key, self.Name);
+  for (const VmEntry &vm : members.Vms) {
+    if (vm.Name.empty() || &vm == &self)
+      continue;
+    bool strong = members.isStrong(vm);
+    bool precedes = strong == selfStrong
+                        ? rendezvousWeight(key, vm.Name) > selfWeight
+                        : strong;
+    if (!precedes)
+      continue;
+    // A VM that has not been heard of yet may be running.
+    bool mayRun = vm.State == VmState::Alive || vm.State == VmState::Unknown;
+    standing.Preceding += mayRun ? 1 : 0;
+    standing.OnlySince = std::max(standing.OnlySince, vm.AliveUntil);
+  }
+  return standing;
+}
+
 /// \returns true if \p vm may own keys: it is believed to be running and is not
 /// leaving the fleet.
 inline bool mayOwn(const VmEntry &vm) { return vm.State == VmState::Alive; }
--- a/src/request_table.h
+++ b/src/request_table.h
@@ -64,6 +64,8 @@
   VmHandle AskedVm;
   /// VM that granted the rate token of the request, invalid if none did.
   VmHandle TokenGranter;
+  /// True if `TokenGranter` granted a token; it is invalid without a fleet.
+  bool HoldsToken = false;
   /// Owners that did not reply or refused ownership.
   uint32_t OwnerFailures = 0;
   /// VM that most recently did not reply.
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -4,6 +4,7 @@
 #include "quota.h"
 #include "rendezvous.h"
 
+#include <algorithm>
 #include <cmath>
 #include <gtest/gtest.h>
 #include <map>
@@ -404,6 +405,45 @@
   EXPECT_TRUE(budget.takeRetry(Start + seconds(12)));
 }
 
+/// Retries that a successor allows at a time after its takeover, after 50
+/// requests that it saw. One that grants its whole budget exceeds the bound of
+/// the service together with its predecessor.
+struct TakeoverCase {
+  std::string_view Name;
+  milliseconds Since;
+  int Retries;
+};
+
+const TakeoverCase Takeovers[] = {
+    {"NotOwner", milliseconds(-1000), 0},
+    {"JustTakenOver", milliseconds(0), 0},
+    {"AfterHalfAWindow", seconds(5), 10},
+    {"AfterAWindow", seconds(10), 30},
+};
+
+std::ostream &operator<<(std::ostream &out, const TakeoverCase &row) {
+  return out << row.Name;
+}
+
+class TakenOverBudget : public testing::TestWithParam<TakeoverCase> {};
+
+TEST_P(TakenOverBudget, GrowsOverOneWindow) {
+  RetryBudget budget(20, 20, seconds(10));
+  Instant now = Start + seconds(1);
+  budget.setOwnedSince(now - GetParam().Since);
+  for (int n = 0; n < 50; ++n)
+    budget.noteRequest(now);
+  int taken = 0;
+  while (budget.takeRetry(now) && taken < 100)
+    ++taken;
+  EXPECT_EQ(taken, GetParam().Retries);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, TakenOverBudget, testing::ValuesIn(Takeovers),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 TEST(Placement, ServiceWithoutInstancesRefusesAtOnce) {
   DispatchFixture fixture(2, 2);
   CatalogSpec spec = catalogOf(2, 2);
@@ -824,6 +864,7 @@
   QuotaTable second;
   first.setLimits({&limit, 1}, false, Start);
   second.setLimits({&limit, 1}, false, Start);
+  uint64_t version = 0;
   std::vector<Instant> admitted;
   auto acquire = [&](QuotaTable &table, uint32_t number, Instant now) {
     table.advance(now);
@@ -836,12 +877,14 @@
   uint32_t number = 0;
   for (Instant now = Start + seconds(5); now < Start + seconds(25);
        now += milliseconds(10)) {
-    // The owner changes every 3 s, and both are notified.
+    // The owner changes every 3 s, and both learn it.
     auto period = (now - Start) / seconds(3);
     bool ownerChanged = (now - Start) % seconds(3) < milliseconds(10);
     if (ownerChanged) {
-      first.setShare(1, now);
-      second.setShare(1, now);
+      OwnerStanding owner{0, now};
+      OwnerStanding other{1, now};
+      first.setStanding(7, period % 2 == 0 ? owner : other, ++version, now);
+      second.setStanding(7, period % 2 == 0 ? other : owner, version, now);
     }
     acquire(period % 2 == 0 ? first : second, ++number, now);
   }
@@ -870,21 +913,61 @@
   EXPECT_EQ(admitted, 20);
 }
 
-TEST(Quota, LocalShareIsAFractionOfTheRate) {
-  QuotaLimit limit{7, 36, 36};
-  QuotaTable table;
-  table.setLimits({&limit, 1}, false, Start);
-  table.setLocalShare(0.5 / 36);
-  int admitted = 0;
-  for (Instant now = Start; now < Start + seconds(10); now += milliseconds(50))
-    admitted +=
-        table.acquireLocal({7, {1, 1}}, now).Verdict == QuotaVerdict::Admitted
-            ? 1
-            : 0;
-  EXPECT_GE(admitted, 4);
-  EXPECT_LE(admitted, 6);
+/// Rate limit of a workspace that many VMs admit requests for at once.
+struct SpareCase {
+  std::string_view Name;
+  QuotaLimit Limit;
+  uint32_t Vms;
+};
+
+const SpareCase Spares[] = {
+    {"LowRate", {7, 5, 5}, 88},
+    {"UsualRate", {7, 36, 36}, 88},
+    {"HighRate", {7, 400, 800}, 500},
+};
+
+std::ostream &operator<<(std::ostream &out, const SpareCase &row) {
+  return out << row.Name;
 }
 
+class SpareShare : public testing::TestWithParam<SpareCase> {};
+
+/// VMs that are asked although they are not the owner, or that reach none, must
+/// stay within the tolerated excess together, in a fleet of any size.
+TEST_P(SpareShare, StaysWithinTheToleratedExcess) {
+  const SpareCase &row = GetParam();
+  std::vector<QuotaTable> tables(row.Vms);
+  for (uint32_t n = 0; n < row.Vms; ++n) {
+    tables[n].setLimits({&row.Limit, 1}, false, Start);
+    tables[n].setStanding(7, {n, n == 0 ? Start + seconds(60) : Start}, 1,
+                          Start);
+  }
+  std::vector<Instant> admitted;
+  for (Instant now = Start + seconds(20); now < Start + seconds(40);
+       now += milliseconds(20))
+    for (QuotaTable &it : tables) {
+      if (it.acquireLocal({7, {1, 1}}, now).Verdict == QuotaVerdict::Admitted)
+        admitted.push_back(now);
+      it.acquire(RequestingVm, {7, {2, 1}}, now);
+      if (it.output().back().Reply.Verdict == QuotaVerdict::Admitted)
+        admitted.push_back(now);
+      it.clearOutput();
+    }
+  size_t most = 0;
+  for (size_t n = 0; n < admitted.size(); ++n) {
+    auto end = std::lower_bound(admitted.begin(), admitted.end(),
+                                admitted[n] + seconds(5));
+    most = std::max(most, static_cast<size_t>(end - admitted.begin()) - n);
+  }
+  EXPECT_LE(most, (row.Limit.RatePerSecond * 5 + row.Limit.Burst) * 0.1 + 20);
+  EXPECT_GE(most, 5u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SpareShare, testing::ValuesIn(Spares),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 } // namespace
 
 } // namespace guavasail
