Keep instances open that reject with free slots

Callers of a service whose instances reject 55 of 100 at random waited or were refused, although more than half of its slots were free.

Cause: each rejection closed its instance for 250 ms.

Change: a rejection closes the instance only if its load report shows no free slot, or if there is no report.

--- a/src/dispatch_pool.cpp
+++ b/src/dispatch_pool.cpp
@@ -142,6 +142,12 @@
          outcome == AttemptOutcome::Unreachable;
 }
 
+/// \returns true if \p instance refused a request for lack of room. Without a
+/// report that is assumed.
+bool wasFull(const PoolInstance &instance, const PlacementRelease &done) {
+  return !done.LoadKnown || done.Running + done.Waiting >= instance.Slots;
+}
+
 /// \returns a value from 0 to 1 that grows with the time since the last
 /// success.
 double staleness(Duration age) {
@@ -732,7 +738,9 @@
                               scaled(TypicalLatency, 1 - LatencySmoothing) +
                                   scaled(clipped, LatencySmoothing));
   }
-  if (done.Outcome == AttemptOutcome::Shed)
+  // Instances may reject at random, all of a service at once. Closing those
+  // with free slots would leave half of the service unused.
+  if (done.Outcome == AttemptOutcome::Shed && wasFull(*instance, done))
     instance->FullUntil = now + FullBackoffTime;
   noteNotice(*instance, vm, done, now);
   if (done.LoadKnown) {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -359,6 +359,48 @@
                            return std::string(it.param.Name);
                          });
 
+/// What an instance of four slots reports with a rejection.
+struct RejectionCase {
+  std::string_view Name;
+  bool LoadKnown;
+  uint32_t Running;
+  uint32_t Waiting;
+  /// Whether it gets the next request at once.
+  PlacementVerdict Next;
+};
+
+const RejectionCase Rejections[] = {
+    {"FreeSlots", true, 2, 0, PlacementVerdict::Granted},
+    {"NoFreeSlot", true, 4, 0, PlacementVerdict::Queued},
+    {"FilledByWaiting", true, 3, 1, PlacementVerdict::Queued},
+    {"NoReport", false, 0, 0, PlacementVerdict::Queued},
+};
+
+std::ostream &operator<<(std::ostream &out, const RejectionCase &row) {
+  return out << row.Name;
+}
+
+class RejectingInstance : public testing::TestWithParam<RejectionCase> {};
+
+/// Guards against a service whose instances reject at random and that is left
+/// half unused, because each rejection closes an instance with free slots.
+TEST_P(RejectingInstance, IsClosedOnlyIfFull) {
+  const RejectionCase &row = GetParam();
+  DispatchFixture fixture(1, 4);
+  PlacementRelease release =
+      releaseOf(fixture.place(requestOf(1), Start), AttemptOutcome::Shed);
+  release.LoadKnown = row.LoadKnown;
+  release.Running = row.Running;
+  release.Waiting = row.Waiting;
+  fixture.Owner.onRelease(RequestingVm, release, Start);
+  EXPECT_EQ(fixture.place(requestOf(2), Start).Verdict, row.Next);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RejectingInstance,
+                         testing::ValuesIn(Rejections), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 TEST(InstanceNotices, BackoffIsNoFailure) {
   DispatchFixture fixture(2, 1);
   PlacementReply first = fixture.place(requestOf(1), Start);
