Hold requests at VMs that have just started

After all VMs lost power, callers were refused although each VM had its configuration a moment later, and a refused caller may not come back.

Cause: the load balancer sends requests to VMs that have just started if fewer than half are in rotation. They refused them until a mark had confirmed the configuration.

Change: a VM that has admitted nothing yet holds requests for at most limits.start_hold_ms and for at most 3 s after the first one. It asks for marks every 150 ms until it has one.

--- a/include/guavasail/limits.h
+++ b/include/guavasail/limits.h
@@ -48,6 +48,9 @@
   /// Time for which a draining VM still accepts requests, until the load
   /// balancer in front of it has seen the failed readiness check.
   Duration DrainAcceptPeriod{};
+  /// Longest time for which a VM that has just started holds requests until it
+  /// has a confirmed configuration; zero refuses them at once.
+  Duration StartHold{};
   /// Time after which the platform ends a draining VM by force; zero if it
   /// waits.
   Duration DrainGracePeriod{};
--- /dev/null
+++ b/src/arrival_hold.h
@@ -0,0 +1,68 @@
+/// \file
+/// Requests that wait until a VM that has just started can admit them.
+#ifndef GUAVASAIL_SRC_ARRIVAL_HOLD_H
+#define GUAVASAIL_SRC_ARRIVAL_HOLD_H
+
+#include "guavasail/clock.h"
+#include "guavasail/event.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+
+namespace guavasail {
+
+/// A request that arrived, with the texts that its event refers to.
+struct HeldArrival {
+  explicit HeldArrival(const RequestArrived &event)
+      : Event(event), Path(event.Path), Host(event.Host), Name(event.Name) {}
+
+  /// \returns the event; valid as long as this object is.
+  [[nodiscard]] RequestArrived event() const;
+
+private:
+  RequestArrived Event;
+  std::string Path;
+  std::string Host;
+  std::string Name;
+};
+
+/// Holds requests for a bounded time. After a loss of all VMs the load balancer
+/// sends requests to those that have just started, before they have read the
+/// configuration, and a refused caller may not come back.
+class ArrivalHold {
+public:
+  /// \param limit longest time for which a request is held; zero holds none.
+  explicit ArrivalHold(Duration limit) : Limit(limit) {}
+
+  /// Holds a request if this VM has just started and has not admitted any.
+  /// \param admits whether this VM can admit requests at present.
+  /// \returns false if the request has to be decided now.
+  bool hold(const RequestArrived &event, bool admits, Instant now);
+
+  /// \param admits whether this VM can admit requests at present.
+  /// \returns the oldest request that has to be decided now.
+  std::optional<HeldArrival> take(bool admits, Instant now);
+
+  [[nodiscard]] bool empty() const { return Items.empty(); }
+  [[nodiscard]] Instant nextDue() const {
+    return Items.empty() ? NeverInstant : Items.front().Until;
+  }
+
+private:
+  struct Item {
+    HeldArrival Arrival;
+    Instant Until;
+  };
+
+  Duration Limit;
+  /// The VM has admitted requests: it is not starting any more.
+  bool Started = false;
+  /// When the first request arrived; epoch if none has.
+  Instant FirstArrivalAt{};
+  std::deque<Item> Items;
+};
+
+} // namespace guavasail
+
+#endif
--- a/src/config_part.cpp
+++ b/src/config_part.cpp
@@ -15,6 +15,7 @@
 // sees it within one interval and pushes it through the watchers of the zones.
 constexpr uint32_t ReaderCount = 2;
 constexpr Duration ReaderConfirmInterval = std::chrono::milliseconds(1100);
+constexpr Duration ReaderStartAskInterval = std::chrono::milliseconds(150);
 constexpr Duration ReaderAskInterval = std::chrono::milliseconds(600);
 constexpr Duration ReaderWatcherTimeout = std::chrono::milliseconds(1000);
 constexpr Duration ReaderAloneGraceTime = std::chrono::milliseconds(1200);
@@ -31,6 +32,7 @@
   config.Sync.Readers = ReaderCount;
   config.Sync.AloneGraceTime = ReaderAloneGraceTime;
   config.Sync.AskInterval = ReaderAskInterval;
+  config.Sync.StartAskInterval = ReaderStartAskInterval;
   config.Sync.WatcherTimeout = ReaderWatcherTimeout;
   config.Sync.DirectWatchMarkAge = ReaderDirectWatchMarkAge;
   config.Sync.UrgentMarkAge = ReaderUrgentMarkAge;
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -21,6 +21,8 @@
 /// is about to become too old.
 constexpr int MaxTakeoverFactor = 8;
 constexpr int MaxUrgentTakeoverFactor = 2;
+/// Time in which a VM counts as just started.
+constexpr Duration StartTime = std::chrono::seconds(3);
 
 /// \returns true if \p vm can read the store and answer others.
 bool mayWatch(const MemberView &members, const VmEntry &vm) {
@@ -99,6 +101,11 @@
   Duration interval = urgent ? Times.UrgentAskInterval : Times.AskInterval;
   if (asksReaders)
     interval = std::min(interval, Times.WatcherAskInterval);
+  bool awaitsMark = Times.StartAskInterval > Duration::zero() &&
+                    Marks.markedAt() == Instant::min() &&
+                    step.Now < deadlineAfter(Started, StartTime);
+  if (awaitsMark)
+    interval = std::min(interval, Times.StartAskInterval);
   bool awaitsList =
       KnownVms <= 1 && step.Now < deadlineAfter(Started, Times.AloneGraceTime);
   if (awaitsList)
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -21,6 +21,9 @@
   /// The same while the own mark is older than `UrgentMarkAge`.
   Duration UrgentAskInterval = std::chrono::milliseconds(500);
   Duration UrgentMarkAge = std::chrono::milliseconds(1800);
+  /// The same while a VM that has just started has no mark; zero for no other
+  /// interval. Requests wait for the first mark.
+  Duration StartAskInterval{};
   /// Time after which the answer to a fetch counts as lost.
   Duration FetchTimeout = std::chrono::milliseconds(400);
   /// A VM that gets no answer from a watcher of its zone for this long acts as
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -75,7 +75,8 @@
   return std::min({State->Timers.nextDue(), State->nextHealthTick(),
                    State->Members.nextDue(), State->Rates.nextWake(),
                    State->Config.nextDue(), State->Dispatch.nextDue(),
-                   State->Quotas.nextDue(), State->Presence.nextDue()});
+                   State->Quotas.nextDue(), State->Presence.nextDue(),
+                   State->Held.nextDue()});
 }
 
 ReducerState::ReducerState(const ReducerInit &init)
@@ -85,7 +86,8 @@
       CrashQuarantine(QuarantineLimits{}),
       ClaimTokens(init.Seed), Self{vmId(init.Name), init.Incarnation},
       Rates(init.Rates), Dispatch(init.Dispatch), Presence(init.Presence),
-      Fleet(init.Fleet), Zone(Catalog.zone(init.Zone)) {
+      Fleet(init.Fleet), Zone(Catalog.zone(init.Zone)),
+      Held(init.Bounds.StartHold) {
   Records.setSelf(Self);
 }
 
@@ -104,6 +106,7 @@
   noteEvacuations(step);
   updatePlacement(step);
   Ready = true;
+  resumeHeld(step);
 }
 
 void ReducerState::onDrainRequested(const DrainRequested &, Step &step) {
@@ -147,6 +150,7 @@
   if (Members.nextDue() <= step.Now)
     Members.advance({step.Now, step.Effects});
   onConfigTick(step);
+  resumeHeld(step);
   advancePlacement(step);
   Presence.advance({step.Now, step.Effects, Members.view().Vms.size()});
 }
--- a/src/reducer_config.cpp
+++ b/src/reducer_config.cpp
@@ -64,8 +64,9 @@
 /// backend server continue, even if the new version withdraws their key.
 void ReducerState::applyAdoptedConfig(Step &step) {
   std::vector<CatalogPatch> patches = Config.takeAdoptedPatches();
+  // A mark may have confirmed the version in force.
   if (patches.empty())
-    return;
+    return resumeHeld(step);
   uint64_t before = Catalog.version();
   for (const CatalogPatch &patch : patches)
     Catalog.apply(patch, Config.keeper().version());
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -14,7 +14,7 @@
 /// \returns the reason to refuse the request, or nothing if it is admitted.
 std::optional<RefusalKind> admissionRefusal(const ReducerState &state,
                                             const Request &request,
-                                            const Digest &key) {
+                                            const Digest &key, Instant now) {
   if (!state.Ready)
     return RefusalKind::NotReady;
   bool draining =
@@ -24,7 +24,7 @@
     return RefusalKind::Draining;
   bool open =
       request.Route.valid() && state.Catalog.at(request.Route).Anonymous;
-  bool confirmed = admits(state.Config.freshState(request.Arrived));
+  bool confirmed = admits(state.Config.freshState(now));
   if (!confirmed && (key.present() || !open))
     return RefusalKind::NotFresh;
   if (!request.Route.valid())
@@ -64,9 +64,36 @@
   request.Fingerprint = event.Fingerprint;
   request.BodyReplayable = event.BodyBytes <= Bounds.MaxReplayBytes;
   request.Arrived = step.Now;
+  if (Held.hold(event, Draining || admitsRequests(step.Now), step.Now)) {
+    request.Phase = RequestPhase::AwaitingAdmission;
+    return;
+  }
+  admitArrived(request, event, step);
+}
+
+bool ReducerState::admitsRequests(Instant now) const {
+  return Ready && admits(Config.freshState(now));
+}
+
+/// Decides held requests once this VM can admit them, or their time is over.
+void ReducerState::resumeHeld(Step &step) {
+  if (Held.empty())
+    return;
+  bool admits = Draining || admitsRequests(step.Now);
+  while (auto held = Held.take(admits, step.Now)) {
+    RequestArrived event = held->event();
+    Request *request = Requests.find(event.Request);
+    if (request)
+      admitArrived(*request, event, step);
+  }
+}
+
+void ReducerState::admitArrived(Request &request, const RequestArrived &event,
+                                Step &step) {
+  request.Phase = RequestPhase::AttemptRunning;
   request.Route = Catalog.route(event.Host, event.Path);
   request.Workspace = Catalog.workspace(event.Key);
-  if (auto refusal = admissionRefusal(*this, request, event.Key))
+  if (auto refusal = admissionRefusal(*this, request, event.Key, step.Now))
     return refuse(request, *refusal, step, otherVmRetryDelay(*refusal));
   request.Repeat = repeatabilityOf(Catalog.at(request.Route), event.Repeat);
   request.Service = Catalog.pickService(request.Route, SplitCounter++);
@@ -78,7 +105,7 @@
   Duration allowed = Catalog.at(request.Route).Timeout;
   if (event.CallerTimeout > Duration::zero())
     allowed = std::min(allowed, event.CallerTimeout);
-  request.Deadline = std::min(step.Now + allowed, DrainLimit);
+  request.Deadline = std::min(request.Arrived + allowed, DrainLimit);
   Timers.arm({request.Deadline, {request.Self, 0}, TimerKind::RequestDeadline});
   request.IdempotencyKey = event.IdempotencyKey;
   if (!request.Workspace.valid())
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -4,6 +4,7 @@
 #define GUAVASAIL_SRC_REDUCER_STATE_H
 
 #include "balancer.h"
+#include "arrival_hold.h"
 #include "catalog_index.h"
 #include "config_part.h"
 #include "dispatcher.h"
@@ -74,6 +75,9 @@
 
   // Callers (reducer_request.cpp).
   void onRequestArrived(const RequestArrived &event, Step &step);
+  void admitArrived(Request &request, const RequestArrived &event, Step &step);
+  [[nodiscard]] bool admitsRequests(Instant now) const;
+  void resumeHeld(Step &step);
   void onCallerDisconnected(const CallerDisconnected &event, Step &step);
 
   // Backend servers (reducer_attempt.cpp).
@@ -240,6 +244,7 @@
   /// Whether the operator evacuates a zone, by zone handle.
   std::vector<bool> EvacuatedZones;
   bool Ready = false;
+  ArrivalHold Held;
   bool Draining = false;
   Instant DrainStart{};
   /// When the last requests end, before the VM is ended by force.
--- a/src/settings_fields.h
+++ b/src/settings_fields.h
@@ -223,6 +223,7 @@
     {"lane_idle_ms", &Limits::LaneIdleTimeout, false, 1},
     {"hold_answers", &Limits::BufferResponses},
     {"drain_accept_ms", &Limits::DrainAcceptPeriod},
+    {"start_hold_ms", &Limits::StartHold},
     {"drain_grace_ms", &Limits::DrainGracePeriod},
 });
 
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -18,8 +18,10 @@
 /// Reducer with single-slot instances that records its effects.
 class PlacementFixture {
 public:
+  /// \param started false for a VM that has no catalog yet, see `start`.
   explicit PlacementFixture(uint32_t instances,
-                            const ReducerInit &init = reducerInit())
+                            const ReducerInit &init = reducerInit(),
+                            bool started = true)
       : TestedReducer(init) {
     ServiceSpec &service = Catalog.Services.emplace_back();
     service.Name = "s";
@@ -43,9 +45,13 @@
     route.Name = "unreadable";
     route.Prefix = "/safe/unreadable/";
     route.Anonymous = true;
-    post(CatalogAccepted{&Catalog});
+    if (started)
+      start();
   }
 
+  /// Accepts the catalog.
+  void start() { post(CatalogAccepted{&Catalog}); }
+
   /// Applies a catalog in which the first instance is in the VM's zone but
   /// cold, and the first route has \p kind.
   void useColdLocalInstance(RequestKind kind) {
@@ -516,6 +522,81 @@
   EXPECT_EQ(fixture.last<StartAttempt>(1)->Attempt.Ordinal, 2u);
 }
 
+/// A request that comes to a VM before its catalog does.
+struct StartHoldCase {
+  std::string_view Name;
+  milliseconds Hold;
+  /// When the catalog comes, after the request.
+  milliseconds Catalog;
+  bool CallerLeaves;
+  /// When the request is sent to an instance, or refused.
+  std::optional<milliseconds> Sent;
+  std::optional<milliseconds> Refused;
+};
+
+const StartHoldCase StartHolds[] = {
+    {"InTime", milliseconds(1500), milliseconds(800), false, milliseconds(800),
+     std::nullopt},
+    {"TooLate", milliseconds(1500), milliseconds(1600), false, std::nullopt,
+     milliseconds(1500)},
+    {"NotHeld", milliseconds(0), milliseconds(800), false, std::nullopt,
+     milliseconds(0)},
+    {"CallerLeaves", milliseconds(1500), milliseconds(800), true, std::nullopt,
+     std::nullopt},
+};
+
+std::ostream &operator<<(std::ostream &out, const StartHoldCase &row) {
+  return out << row.Name;
+}
+
+class StartHold : public testing::TestWithParam<StartHoldCase> {};
+
+/// Guards against callers that are refused by all VMs after a loss of all,
+/// since each gets requests a moment before its configuration.
+TEST_P(StartHold, WaitsForTheCatalog) {
+  const StartHoldCase &row = GetParam();
+  ReducerInit init = PlacementFixture::reducerInit();
+  init.Bounds.StartHold = row.Hold;
+  PlacementFixture fixture(1, init, false);
+  fixture.arrive(1, "/safe/x");
+  if (row.CallerLeaves)
+    fixture.post(CallerDisconnected{{1, 1}});
+  std::optional<milliseconds> sent;
+  std::optional<milliseconds> refused;
+  constexpr milliseconds Step(100);
+  for (milliseconds now(0); now <= seconds(3); now += Step) {
+    if (now == row.Catalog)
+      fixture.start();
+    if (!sent && fixture.last<StartAttempt>(1))
+      sent = now;
+    if (!refused && fixture.last<RefuseRequest>(1))
+      refused = now;
+    fixture.advance(Step);
+  }
+  EXPECT_EQ(sent, row.Sent);
+  EXPECT_EQ(refused, row.Refused);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StartHold, testing::ValuesIn(StartHolds),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
+/// Guards against requests that are held for as long as the store is away: a VM
+/// counts as starting for 3 s only.
+TEST(StartHold, EndsWithTheStart) {
+  ReducerInit init = PlacementFixture::reducerInit();
+  init.Bounds.StartHold = milliseconds(1500);
+  PlacementFixture fixture(1, init, false);
+  fixture.arrive(1, "/safe/x");
+  fixture.advance(milliseconds(2500));
+  fixture.arrive(2, "/safe/x");
+  fixture.advance(milliseconds(500));
+  EXPECT_TRUE(fixture.last<RefuseRequest>(2));
+  fixture.arrive(3, "/safe/x");
+  EXPECT_TRUE(fixture.last<RefuseRequest>(3));
+}
+
 TEST(Drain, KeepsQueuedRequests) {
   PlacementFixture fixture(1);
   fixture.arrive(1, "/safe/x");
