Reserve the ports of test daemons outside the ephemeral range

Cause, found by reading and not reproduced: freePort returned a port of the kernel's ephemeral range and released it. Until the daemon listened, another test could get it, as a listener or for an outgoing connection. Its log was not kept, so that the cause is likely and not proved.

Change: ports come from 10000 to 32767 and are reserved among tests that run at the same time by an abstract socket.

--- a/tests/edge_harness.cpp
+++ b/tests/edge_harness.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <charconv>
 #include <csignal>
+#include <cstddef>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +17,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -64,7 +66,49 @@
 
 } // namespace
 
-uint16_t freePort() { return Listener().port(); }
+namespace {
+
+/// Reserves \p port among the tests that run at the same time, until this
+/// process ends. An abstract socket name needs no file to clean up.
+bool reservePort(uint16_t port) {
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  std::string name = "guavasail-test-port-" + std::to_string(port);
+  std::copy(name.begin(), name.end(), address.sun_path + 1);
+  auto length = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 +
+                                       name.size());
+  int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (::bind(fd, reinterpret_cast<sockaddr *>(&address), length) == 0)
+    return true;
+  ::close(fd);
+  return false;
+}
+
+/// \returns true if nobody listens on \p port.
+bool canListen(uint16_t port) {
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = loopback(port);
+  bool free =
+      ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+  ::close(fd);
+  return free;
+}
+
+} // namespace
+
+// The kernel gives ports of its ephemeral range, from 32768, to connections of
+// other tests before the daemon listens.
+uint16_t freePort() {
+  constexpr uint16_t First = 10000;
+  constexpr uint16_t Last = 32767;
+  static uint16_t next = First + ::getpid() * 37 % (Last - First);
+  for (int n = 0; n < Last - First; ++n) {
+    next = next == Last ? First : next + 1;
+    if (reservePort(next) && canListen(next))
+      return next;
+  }
+  return 0;
+}
 
 Wire::Wire(Wire &&other) noexcept
     : Received(std::move(other.Received)), Ended(other.Ended),
--- a/tests/edge_harness.h
+++ b/tests/edge_harness.h
@@ -70,7 +70,8 @@
   uint16_t Port = 0;
 };
 
-/// \returns a port that nobody listens on.
+/// \returns a port that nobody listens on and no other test gets; 0 if there is
+/// none.
 uint16_t freePort();
 
 /// A program that this test started.
