Keep a restored store from reverting what it has lost

The platform's store may come back from a copy that is some seconds old and give its revisions out again. A withdrawn key was then accepted on, and a later change was never seen: entries and the catalog are recognised by revision, and the new revisions were taken for old ones. A VM's entry and lease were missed only at its next renewal, which could hit another VM's lease.

Change: the header Store-Era is the upper part of every version. Reads confirm nothing until the known configuration is back. Versions carry the operator's number of the configuration, so that a VM refuses an older one that another VM has read. VMs register again within 1.5 s of learning of the new era, from their own calls or from each other's marks.

--- a/include/guavasail/presence.h
+++ b/include/guavasail/presence.h
@@ -41,6 +41,8 @@
 struct PresenceReplied {
   PresenceCall Call = PresenceCall::Announce;
   PresenceOutcome Outcome = PresenceOutcome::Failed;
+  /// Era of the store that has the entry, see `storeEra`.
+  uint64_t StoreEra = 0;
 };
 
 /// Settings of the registration.
--- a/include/guavasail/store.h
+++ b/include/guavasail/store.h
@@ -18,6 +18,18 @@
 
 namespace guavasail {
 
+/// A store that was restored from an older copy gives out its revisions again.
+/// The era, a count of these restorations, is the upper part of a version, so
+/// that versions of a later era are greater than all before it.
+inline constexpr uint32_t StoreEraShift = 48;
+/// Greatest era that leaves versions in the range of signed numbers.
+inline constexpr uint64_t MaxStoreEra = 0x7fff;
+
+/// \returns the store's era at which \p version was read.
+constexpr uint64_t storeEra(uint64_t version) {
+  return version >> StoreEraShift;
+}
+
 /// A recently accepted change.
 struct RecentChange {
   std::string Id;
@@ -26,6 +38,8 @@
   uint64_t UnixMillis = 0;
   /// Hashes of the items that it modified.
   std::vector<uint64_t> Items;
+  /// The operator's number of the configuration; 0 if unknown.
+  uint64_t ConfigVersion = 0;
 
   friend bool operator==(const RecentChange &, const RecentChange &) = default;
 };
@@ -166,6 +180,9 @@
   const StoreValue *Value = nullptr;
   /// Revision of the whole store at which the key was read; 0 if unknown.
   uint64_t StoreRevision = 0;
+  /// False if the store was restored from an older copy and may lack changes
+  /// that it had accepted: the reply confirms no version.
+  bool Confirms = true;
 };
 
 } // namespace guavasail
--- a/src/config_keeper.cpp
+++ b/src/config_keeper.cpp
@@ -58,10 +58,25 @@
 
 ConfigKeeper::ConfigKeeper() { Head.Chunks.resize(ChunkSlots); }
 
+/// \returns true if \p change, read from a restored store, would bring back an
+/// older configuration of the operator. Before the first restoration versions
+/// are in the order of the configurations.
+bool ConfigKeeper::reverts(uint64_t version, const RecentChange &change) const {
+  if (storeEra(version) == 0)
+    return false;
+  auto isNewer = [&](const ConfigHead &known) {
+    return !known.Recent.empty() &&
+           known.Recent.back().ConfigVersion > change.ConfigVersion;
+  };
+  return isNewer(Head) || isNewer(Pending);
+}
+
 bool ConfigKeeper::offerHead(const ConfigHead &head) {
   bool newer = head.Version > std::max(Head.Version, Pending.Version);
   if (!newer || head.Chunks.size() != ChunkSlots)
     return false;
+  if (!head.Recent.empty() && reverts(head.Version, head.Recent.back()))
+    return false;
   Pending = head;
   std::erase_if(ReceivedChunks, [&](const auto &it) {
     return chunkDigest(it.second) != Pending.Chunks[it.first];
@@ -144,6 +159,8 @@
     return DeltaResult::Outdated;
   if (delta.From != Head.Version)
     return DeltaResult::VersionGap;
+  if (reverts(delta.Change.Version, delta.Change))
+    return DeltaResult::Outdated;
   ChunkEdits edits;
   ConfigHead head = Head;
   advanceHead(head, delta.Change);
--- a/src/config_keeper.h
+++ b/src/config_keeper.h
@@ -48,7 +48,9 @@
   [[nodiscard]] const ChunkTable &table() const { return Table; }
   [[nodiscard]] uint64_t version() const { return Head.Version; }
 
-  /// Starts to collect \p head if it is newer than all known versions.
+  /// Starts to collect \p head if it is newer than all known versions. A head
+  /// read from a restored store is refused if its configuration is older than
+  /// the one in force.
   /// \returns true if chunks are missing for it.
   bool offerHead(const ConfigHead &head);
 
@@ -86,6 +88,7 @@
   std::vector<CatalogPatch> takeAdoptedPatches();
 
 private:
+  [[nodiscard]] bool reverts(uint64_t version, const RecentChange &change) const;
   void adopt(const ConfigHead &head, const ChunkEdits &edits);
   void adoptPending();
 
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -185,9 +185,10 @@
   HeadAbsent = reply.Revision == 0;
   if (HeadAbsent)
     NextConfirm = step.Now;
-  else if (reply.Revision == SeenRevision)
-    confirmSeen(Confirming.Sent, reply.StoreRevision);
-  else {
+  else if (reply.Revision == SeenRevision) {
+    if (reply.Confirms)
+      confirmSeen(Confirming.Sent, reply.StoreRevision);
+  } else {
     ConflictRevision = reply.Revision;
     ConflictAt = Confirming.Sent;
     readHead(step);
@@ -243,9 +244,10 @@
   }
   // The head that a confirmation found was the newest when it was sent; a head
   // from a watch has yet to be confirmed.
-  if (ConflictRevision > 0 && SeenRevision >= ConflictRevision)
+  bool wasNewest = ConflictRevision > 0 && SeenRevision >= ConflictRevision;
+  if (wasNewest && reply.Confirms)
     confirmSeen(ConflictAt, reply.StoreRevision);
-  else if (Active && !Confirming.open())
+  else if (!wasNewest && Active && !Confirming.open())
     NextConfirm = step.Now;
   ConflictRevision = 0;
 }
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -260,7 +260,8 @@
 template <> struct PeerFields<RecentChange> {
   static constexpr std::tuple Members{
       &RecentChange::Id, &RecentChange::Author, &RecentChange::Version,
-      &RecentChange::UnixMillis, &RecentChange::Items};
+      &RecentChange::UnixMillis, &RecentChange::Items,
+      &RecentChange::ConfigVersion};
 };
 
 template <> struct PeerFields<ConfigHead> {
--- a/src/presence.cpp
+++ b/src/presence.cpp
@@ -16,6 +16,10 @@
 /// Intervals are shortened at random by less than this, so that VMs started
 /// together don't call in lockstep.
 constexpr int64_t MaxJitterPercent = 30;
+/// VMs learn of a restored store from each other within a second; so much later
+/// they register again, so that a large fleet stays below the store's limit of
+/// writes.
+constexpr int64_t MaxRestoreDelayMs = 1500;
 
 } // namespace
 
@@ -58,6 +62,9 @@
     return;
   switch (reply.Outcome) {
   case PresenceOutcome::Done:
+    if (reply.StoreEra < StoreEra)
+      return scheduleAnnouncement(step);
+    StoreEra = reply.StoreEra;
     Announced = true;
     Failures = 0;
     NextRenewal = step.Now + withJitter(Init.RenewInterval);
@@ -74,6 +81,20 @@
   }
 }
 
+void VmRegistration::noteStoreEra(uint64_t era, const PresenceStep &step) {
+  if (era <= StoreEra)
+    return;
+  StoreEra = era;
+  if (Announced && !Leaving)
+    scheduleAnnouncement(step);
+}
+
+void VmRegistration::scheduleAnnouncement(const PresenceStep &step) {
+  auto delay = static_cast<int64_t>(Random() % MaxRestoreDelayMs);
+  Announced = false;
+  NextRenewal = step.Now + std::chrono::milliseconds(delay);
+}
+
 void VmRegistration::leave(const PresenceStep &step) {
   if (!Init.Enabled || Leaving)
     return;
--- a/src/reducer_config.cpp
+++ b/src/reducer_config.cpp
@@ -17,6 +17,16 @@
   return {step.Now, step.Effects, Members.view(), Zone, Catalog};
 }
 
+void ReducerState::onPeer(VmHandle from, const ConfigMark &message,
+                          Step &step) {
+  Config.onPeer(from, message, configContext(step));
+  applyAdoptedConfig(step);
+  // A sender without a mark names a revision that no store has.
+  uint64_t era = storeEra(message.MarkRevision);
+  if (era <= MaxStoreEra)
+    Presence.noteStoreEra(era, {step.Now, step.Effects});
+}
+
 void ReducerState::onStoreReplied(const StoreReplied &event, Step &step) {
   Config.onReply(event, configContext(step));
   applyAdoptedConfig(step);
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -179,6 +179,7 @@
     Config.onPeer(from, message, configContext(step));
     applyAdoptedConfig(step);
   }
+  void onPeer(VmHandle from, const ConfigMark &message, Step &step);
   static ConfigInit configInit(const ReducerInit &init);
   ConfigContext configContext(Step &step);
   void onStoreReplied(const StoreReplied &event, Step &step);
--- a/tests/cold_start_test.cpp
+++ b/tests/cold_start_test.cpp
@@ -185,6 +185,60 @@
                            return std::string(it.param.Name);
                          });
 
+/// The store's eras that a registered VM learns of.
+struct EraCase {
+  std::string_view Name;
+  /// Era that has the entry.
+  uint64_t Announced;
+  /// Era that another VM has seen.
+  uint64_t Noted;
+  bool RegistersAgain;
+};
+
+const EraCase Eras[] = {
+    {"NoRestoration", 0, 0, false},
+    {"Restored", 0, 1, true},
+    {"RegisteredSince", 2, 2, false},
+    {"LateNews", 2, 1, false},
+};
+
+std::ostream &operator<<(std::ostream &out, const EraCase &row) {
+  return out << row.Name;
+}
+
+class StoreRestored : public testing::TestWithParam<EraCase> {};
+
+/// Guards against a VM that is missing from the list until its next renewal,
+/// because the restored store lacks its entry.
+TEST_P(StoreRestored, RegistersAgainWithinTwoSeconds) {
+  const EraCase &row = GetParam();
+  PresenceInit init;
+  init.Enabled = true;
+  init.RenewInterval = seconds(8);
+  VmRegistration registration(init);
+  EffectBuffer effects;
+  registration.advance({Start, effects, 1});
+  PresenceReplied done{PresenceCall::Announce, PresenceOutcome::Done,
+                       row.Announced};
+  registration.onReply(done, {Start, effects});
+  registration.noteStoreEra(row.Noted, {Start, effects});
+  size_t announced = 0;
+  for (Instant now = Start; now < Start + seconds(2); now += milliseconds(20)) {
+    effects.clear();
+    registration.advance({now, effects, 1});
+    for (const Effect &it : effects.items()) {
+      const auto *call = std::get_if<CallPresence>(&it);
+      announced += call && call->Call == PresenceCall::Announce ? 1 : 0;
+    }
+  }
+  EXPECT_EQ(announced, row.RegistersAgain ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StoreRestored, testing::ValuesIn(Eras),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 } // namespace
 
 } // namespace guavasail
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -357,13 +357,14 @@
   return catalog;
 }
 
-void adopt(ConfigKeeper &keeper, uint64_t version) {
+void adopt(ConfigKeeper &keeper, uint64_t version, uint64_t config = 0) {
   ChunkTable table =
       splitCatalog(largeCatalog(3, static_cast<uint32_t>(version)));
   ConfigHead head;
   head.Version = version;
   RecentChange change;
   change.Version = version;
+  change.ConfigVersion = config;
   head.Recent.push_back(change);
   for (const CatalogChunk &it : table.Slots)
     head.Chunks.push_back(chunkDigest(it));
@@ -372,6 +373,58 @@
     ASSERT_TRUE(keeper.provideChunk(*slot, table.Slots[*slot]));
 }
 
+/// The version in force, and one from a restored store.
+struct RestoredCase {
+  std::string_view Name;
+  uint64_t Version;
+  uint64_t Config;
+  uint64_t RestoredVersion;
+  uint64_t RestoredConfig;
+  bool Adopted;
+};
+
+constexpr uint64_t FirstEra = uint64_t{1} << StoreEraShift;
+
+const RestoredCase RestoredCases[] = {
+    {"OlderConfig", 90, 8, FirstEra + 40, 7, false},
+    {"SameConfig", 90, 8, FirstEra + 40, 8, true},
+    {"NewerConfig", 90, 8, FirstEra + 40, 9, true},
+    {"OlderConfigOfTheSameEra", FirstEra + 40, 8, FirstEra + 50, 7, false},
+    {"NoRestoration", 90, 8, 95, 7, true},
+    {"LateVersionOfTheFormerEra", FirstEra + 40, 8, 95, 9, false},
+};
+
+std::ostream &operator<<(std::ostream &out, const RestoredCase &row) {
+  return out << row.Name;
+}
+
+class RestoredVersion : public testing::TestWithParam<RestoredCase> {};
+
+/// Guards against an older configuration that another VM read from a restored
+/// store, and that has the greater version.
+TEST_P(RestoredVersion, DoesNotRevertTheConfiguration) {
+  const RestoredCase &row = GetParam();
+  ConfigKeeper keeper;
+  adopt(keeper, row.Version, row.Config);
+  ASSERT_EQ(keeper.version(), row.Version);
+  // The same change as a delta.
+  ConfigKeeper patched = keeper;
+  ConfigDelta delta;
+  delta.From = row.Version;
+  delta.Change.Version = row.RestoredVersion;
+  delta.Change.ConfigVersion = row.RestoredConfig;
+  delta.Result = headDigest(keeper.head());
+  EXPECT_EQ(patched.apply(delta) == DeltaResult::Adopted, row.Adopted);
+  adopt(keeper, row.RestoredVersion, row.RestoredConfig);
+  EXPECT_EQ(keeper.version(), row.Adopted ? row.RestoredVersion : row.Version);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RestoredVersion,
+                         testing::ValuesIn(RestoredCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 /// Versions that the provider read from the store, the version of the
 /// requester, and the number of deltas the provider has for it.
 struct ChainCase {
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -33,10 +33,13 @@
                                  file("items")},
         file("store.log"));
     await([&] { return Wire::dial(StorePort).fd() >= 0; });
+    signalStore(SIGUSR1);
     for (size_t n = 0; n < Ports.size(); ++n)
       startDaemon(n);
-    for (uint16_t port : Ports)
-      EXPECT_TRUE(await([&] { return answerOf(port, "/-/ready") == "200"; }));
+    for (size_t n = 0; n < Ports.size(); ++n)
+      EXPECT_TRUE(
+          await([&] { return answerOf(Ports[n], "/-/ready") == "200"; }))
+          << textOf("vm-" + std::to_string(n) + ".log");
   }
 
   /// Writes the store's items and tells it.
@@ -45,6 +48,40 @@
     Store->signal(SIGHUP);
   }
 
+  /// Sends a signal to the store and waits until it has acted on it.
+  void signalStore(int number) const {
+    Store->signal(number);
+    std::string line = "signal " + std::to_string(number);
+    EXPECT_TRUE(await([&] {
+      return textOf("store.log").find(line) != std::string::npos;
+    }));
+  }
+
+  /// \returns true if the store lists the VM \p n.
+  [[nodiscard]] bool isRegistered(size_t n) const {
+    Wire caller = Wire::dial(StorePort);
+    caller.send("GET /api/kv-range?prefix=vm/ HTTP/1.1\r\nhost: h\r\n\r\n");
+    while (!wholeAnswer(caller.Received, "GET") && caller.receive()) {
+    }
+    return caller.Received.find("vm/vm-" + std::to_string(n)) !=
+           std::string::npos;
+  }
+
+  /// \returns the status that a request with \p key gets from \p port, empty
+  /// if it was passed on to the instance.
+  [[nodiscard]] std::string statusWith(uint16_t port,
+                                       std::string_view key) const {
+    std::string text = request("id-2");
+    text.replace(text.find(Key), Key.size(), key);
+    Wire caller = Wire::dial(port);
+    caller.send(text);
+    pollfd item{caller.fd(), POLLIN, 0};
+    if (::poll(&item, 1, StepMillis * 4) <= 0)
+      return {};
+    caller.receive();
+    return caller.Received.substr(9, 3);
+  }
+
   /// Adds an item to those that the next change writes.
   void writeOdd(std::string_view key, std::string_view value) {
     Odd = std::string(key) + "\t" + std::string(value) + "\n";
@@ -84,14 +121,20 @@
   std::array<std::unique_ptr<Child>, 2> Daemons;
 
 private:
+  [[nodiscard]] std::string textOf(std::string_view name) const {
+    std::ifstream text(file(name));
+    return {std::istreambuf_iterator<char>(text), {}};
+  }
+
   [[nodiscard]] std::string file(std::string_view name) const {
     return Folder + "/" + std::string(name);
   }
 
-  void writeItems(std::string_view state, std::string_view key) const {
+  void writeItems(std::string_view state, std::string_view key) {
+    ++Writes;
     std::ofstream items(file("items"));
     items << "op/config\t"
-          << R"({"version":7,"tenants":[{"name":"school","api_keys":[")" << key
+          << R"({"version":)" << 6 + Writes << R"(,"tenants":[{"name":"school","api_keys":[")" << key
           << R"("],"rate_per_s":50,"burst":50}],"listeners":[{"host":)"
           << R"("shop.example","rules":[{"name":"r","kind":")" << Kind
           << R"(","match":{"prefix":"/a/"},"action":{"service":"s",)"
@@ -101,7 +144,7 @@
           << "servers/i-1\t"
           << R"({"service":"s","address":"127.0.0.1:)" << Backend.port()
           << R"(","zone":"z","slots":2,"state":")" << state
-          << R"(","sequence":1})"
+          << R"(","sequence":)" << Writes << "}"
           << "\n"
           << "servers/i-broken\t{\"service\":7}\n"
           << Odd;
@@ -134,6 +177,8 @@
   }
 
   std::string Kind;
+  /// How often the operator and the instance have written.
+  uint32_t Writes = 0;
   /// A further line of the items.
   std::string Odd;
   std::string Folder;
@@ -579,6 +624,36 @@
                            return std::string(it.param.Name);
                          });
 
+/// Guards against a store restored from a copy of its first seconds that brings
+/// a withdrawn key back, hides a later change behind a revision which it gives
+/// out again, or loses the VMs.
+TEST(RestoredStore, RevertsNothing) {
+  constexpr int WatchedMillis = 3000;
+  Deployment deployment("safe");
+  deployment.change("ready", "second-key");
+  for (uint16_t port : deployment.Ports)
+    EXPECT_TRUE(Deployment::await(
+        [&] { return deployment.statusWith(port, Key) == "401"; }));
+  deployment.signalStore(SIGUSR2);
+  for (int n = 0; n < WatchedMillis / StepMillis; ++n) {
+    for (uint16_t port : deployment.Ports)
+      EXPECT_NE(deployment.statusWith(port, Key), "");
+    ::poll(nullptr, 0, StepMillis);
+  }
+  deployment.change("ready", "third-key");
+  for (uint16_t port : deployment.Ports) {
+    EXPECT_TRUE(Deployment::await(
+        [&] { return deployment.statusWith(port, "second-key") == "401"; }));
+    EXPECT_TRUE(Deployment::await(
+        [&] { return deployment.statusWith(port, "third-key").empty(); }));
+  }
+  for (size_t n = 0; n < deployment.Daemons.size(); ++n) {
+    EXPECT_TRUE(
+        Deployment::await([&] { return deployment.isRegistered(n); }));
+    EXPECT_TRUE(deployment.Daemons[n]->running());
+  }
+}
+
 TEST(PlatformReload, KeepsServing) {
   Deployment deployment("safe");
   deployment.Daemons[0]->signal(SIGHUP);
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -20,6 +20,8 @@
 struct PageSpec {
   uint64_t StoreRevision;
   std::vector<std::string_view> Keys;
+  /// The store's era, 0 for no header.
+  uint64_t Era = 0;
 };
 
 struct PagedReadCase {
@@ -65,8 +67,11 @@
                           {"has_more", more},
                           {"store_revision", page.StoreRevision}}
                          .dump();
-  return "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
+  std::string era = page.Era == 0 ? std::string()
+                                  : "Store-Era: " + std::to_string(page.Era) +
+                                        "\r\n";
+  return "HTTP/1.1 200 OK\r\n" + era +
+         "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// Keeps the last reply of the store.
@@ -258,6 +263,73 @@
                            return std::string(it.param.Name);
                          });
 
+/// Pages of one read around a restoration.
+struct RestoredReadCase {
+  std::string_view Name;
+  std::vector<PageSpec> Pages;
+  StoreOutcome Outcome;
+  uint64_t Version;
+};
+
+const RestoredReadCase RestoredReads[] = {
+    {"NotYetUsed", {{5, {"op/config"}, 1}}, StoreOutcome::Conflict, 7},
+    {"BetweenPages",
+     {{9, {"op/config"}}, {5, {"servers/i-1"}, 1}, {5, {"op/config"}, 1}},
+     StoreOutcome::Conflict,
+     7},
+    {"EraOutOfRange",
+     {{5, {"op/config"}, MaxStoreEra + 1}},
+     StoreOutcome::Unavailable,
+     7},
+};
+
+std::ostream &operator<<(std::ostream &out, const RestoredReadCase &row) {
+  return out << row.Name;
+}
+
+class RestoredRead : public StoreLoop,
+                     public testing::TestWithParam<RestoredReadCase> {};
+
+/// Guards against a catalog made of pages from both sides of a restoration, and
+/// against one that is used before the instances have written again.
+TEST_P(RestoredRead, KeepsTheKnownCatalog) {
+  const RestoredReadCase &row = GetParam();
+  StoreSettings settings;
+  settings.Address = "127.0.0.1";
+  settings.Port = Server.port();
+  platform::Store store(Loop, settings, VmSpec{}, Sink);
+  StoreValue none;
+  StoreWrite confirm;
+  confirm.Value = &none;
+  store.start(confirm);
+  turnUntilReadable(Server.fd());
+  Wire calls = Server.accept();
+  turnUntilReadable(calls.fd());
+  ASSERT_TRUE(calls.receive());
+  calls.send(pageText({7, {"op/config", "servers/i-1"}}, false));
+  turnUntilReplied();
+  ASSERT_TRUE(Sink.Reply && Sink.Reply->Confirms);
+  Sink.Reply.reset();
+  store.start(confirm);
+  for (size_t n = 0; n < row.Pages.size(); ++n) {
+    turnUntilReadable(calls.fd());
+    ASSERT_TRUE(calls.receive());
+    calls.send(pageText(row.Pages[n], n + 1 < row.Pages.size()));
+  }
+  turnUntilReplied();
+  ASSERT_TRUE(Sink.Reply);
+  EXPECT_EQ(Sink.Reply->Outcome, row.Outcome);
+  EXPECT_EQ(Sink.Reply->Revision, row.Version);
+  bool restored = row.Outcome == StoreOutcome::Conflict;
+  EXPECT_EQ(Sink.Reply->Confirms, !restored);
+  store.close();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RestoredRead, testing::ValuesIn(RestoredReads),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 } // namespace
 
 } // namespace guavasail
--- a/tools/standin_store.cpp
+++ b/tools/standin_store.cpp
@@ -1,15 +1,18 @@
 /// \file
 /// Stand-in for the platform's metadata store: items, leases, conditional
-/// changes. Items given on the command line are the operator's.
+/// changes. Items given on the command line are the operator's. SIGUSR1 keeps a
+/// copy of everything, SIGUSR2 restores it.
 #include "http_reader.h"
 #include "http_text.h"
 #include "tcp_stream.h"
 
+#include <array>
 #include <csignal>
 #include <cstdint>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -146,6 +149,15 @@
     return {};
   }
 
+  /// Goes back to an older copy, with its revisions and leases.
+  void restore(const Items &copy) {
+    uint64_t next = Era + 1;
+    *this = copy;
+    Era = next;
+  }
+
+  [[nodiscard]] uint64_t era() const { return Era; }
+
   /// Replaces the operator's items by those of the file.
   void load(const std::string &path) {
     std::ifstream file(path);
@@ -176,6 +188,25 @@
   std::map<uint64_t, uint64_t> Leases;
   uint64_t Revision = 1;
   uint64_t LastLease = 0;
+  uint64_t Era = 0;
+};
+
+/// The store and its copy.
+struct Backup {
+  Items Current;
+  Items Copy;
+};
+
+/// Acts on a signal.
+struct SignalRow {
+  int Signal;
+  void (*Act)(Backup &backup);
+};
+
+const SignalRow SignalRows[] = {
+    {SIGHUP, [](Backup &it) { it.Current.load(FLAGS_items); }},
+    {SIGUSR1, [](Backup &it) { it.Copy = it.Current; }},
+    {SIGUSR2, [](Backup &it) { it.Current.restore(it.Copy); }},
 };
 
 /// Restores bytes that are not UTF-8, for which JSON texts have a replacement
@@ -265,6 +296,9 @@
           answer.Body.dump(-1, ' ', false, Json::error_handler_t::replace));
       stream.write("HTTP/1.1 " + std::to_string(answer.Status) +
                    " Answer\r\ncontent-type: application/json\r\n"
+                   "store-era: " +
+                   std::to_string(State.era()) +
+                   "\r\n"
                    "content-length: " +
                    std::to_string(text.size()) + "\r\n\r\n" + text);
     }
@@ -303,22 +337,27 @@
   signal(SIGPIPE, SIG_IGN);
   uv_loop_t loop;
   uv_loop_init(&loop);
-  Items items;
-  items.load(FLAGS_items);
-  Server server(items);
+  Backup backup;
+  backup.Current.load(FLAGS_items);
+  Server server(backup.Current);
   if (!server.listen(loop)) {
     std::cerr << "standin_store: cannot listen on port " << FLAGS_port << "\n";
     return 1;
   }
-  uv_signal_t hangup;
-  uv_signal_init(&loop, &hangup);
-  hangup.data = &items;
-  uv_signal_start(
-      &hangup,
-      [](uv_signal_t *signal, int) {
-        static_cast<Items *>(signal->data)->load(FLAGS_items);
-      },
-      SIGHUP);
+  std::array<uv_signal_t, std::size(SignalRows)> signals{};
+  for (size_t n = 0; n < signals.size(); ++n) {
+    uv_signal_init(&loop, &signals[n]);
+    signals[n].data = &backup;
+    uv_signal_start(
+        &signals[n],
+        [](uv_signal_t *signal, int number) {
+          for (const SignalRow &it : SignalRows)
+            if (it.Signal == number)
+              it.Act(*static_cast<Backup *>(signal->data));
+          std::cerr << "standin_store: signal " << number << std::endl;
+        },
+        SignalRows[n].Signal);
+  }
   uv_run(&loop, UV_RUN_DEFAULT);
   return 0;
 }
