Bound the memory of requests that are held at a start

Callers outside the limits could fill the memory of a VM that has just started with long paths: 1,500 requests of 64 KB. Beyond 1 MB of texts requests are decided at once, as without the hold.

--- a/src/arrival_hold.cpp
+++ b/src/arrival_hold.cpp
@@ -10,6 +10,8 @@
 /// Time after the first request in which a VM counts as starting. Without a
 /// configuration by then, the store or the other VMs are out of reach.
 constexpr Duration MaxStartTime = std::chrono::seconds(3);
+/// Most bytes of texts that are kept. Usual requests have less than 200 each.
+constexpr size_t MaxBytes = size_t{1} << 20;
 
 } // namespace
 
@@ -30,7 +32,11 @@
   Instant until = std::min(now + Limit, FirstArrivalAt + MaxStartTime);
   if (until <= now)
     return false;
-  Items.push_back({HeldArrival(event), until});
+  HeldArrival arrival(event);
+  if (Bytes + arrival.bytes() > MaxBytes)
+    return false;
+  Bytes += arrival.bytes();
+  Items.push_back({std::move(arrival), until});
   return true;
 }
 
@@ -40,6 +46,7 @@
     return std::nullopt;
   std::optional<HeldArrival> arrival(std::move(Items.front().Arrival));
   Items.pop_front();
+  Bytes -= arrival->bytes();
   return arrival;
 }
 
--- a/src/arrival_hold.h
+++ b/src/arrival_hold.h
@@ -6,6 +6,7 @@
 #include "guavasail/clock.h"
 #include "guavasail/event.h"
 
+#include <cstddef>
 #include <deque>
 #include <optional>
 #include <string>
@@ -19,6 +20,10 @@
 
   /// \returns the event; valid as long as this object is.
   [[nodiscard]] RequestArrived event() const;
+  /// \returns the size of its texts in bytes.
+  [[nodiscard]] size_t bytes() const {
+    return Path.size() + Host.size() + Name.size();
+  }
 
 private:
   RequestArrived Event;
@@ -37,7 +42,8 @@
 
   /// Holds a request if this VM has just started and has not admitted any.
   /// \param admits whether this VM can admit requests at present.
-  /// \returns false if the request has to be decided now.
+  /// \returns false if the request has to be decided now, also for lack of
+  /// memory.
   bool hold(const RequestArrived &event, bool admits, Instant now);
 
   /// \param admits whether this VM can admit requests at present.
@@ -61,6 +67,8 @@
   /// When the first request arrived; epoch if none has.
   Instant FirstArrivalAt{};
   std::deque<Item> Items;
+  /// Size of the texts of `Items`.
+  size_t Bytes = 0;
 };
 
 } // namespace guavasail
--- a/tests/place_test.cpp
+++ b/tests/place_test.cpp
@@ -597,6 +597,19 @@
   EXPECT_TRUE(fixture.last<RefuseRequest>(3));
 }
 
+/// Guards against callers outside the limits that fill the memory of a VM which
+/// has just started.
+TEST(StartHold, HoldsABoundedNumberOfBytes) {
+  ReducerInit init = PlacementFixture::reducerInit();
+  init.Bounds.StartHold = milliseconds(1500);
+  PlacementFixture fixture(1, init, false);
+  std::string path = "/safe/" + std::string(size_t{60} << 10, 'x');
+  for (uint32_t n = 1; n <= 20; ++n)
+    fixture.arrive(n, path);
+  EXPECT_FALSE(fixture.last<RefuseRequest>(1));
+  EXPECT_TRUE(fixture.last<RefuseRequest>(20));
+}
+
 TEST(Drain, KeepsQueuedRequests) {
   PlacementFixture fixture(1);
   fixture.arrive(1, "/safe/x");
