--- a/src/config_keeper.h
+++ b/src/config_keeper.h
@@ -88,7 +88,8 @@
   std::vector<CatalogPatch> takeAdoptedPatches();
 
 private:
-  [[nodiscard]] bool reverts(uint64_t version, const RecentChange &change) const;
+  [[nodiscard]] bool reverts(uint64_t version,
+                             const RecentChange &change) const;
   void adopt(const ConfigHead &head, const ChunkEdits &edits);
   void adoptPending();
 
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -259,9 +259,9 @@
 
 template <> struct PeerFields<RecentChange> {
   static constexpr std::tuple Members{
-      &RecentChange::Id, &RecentChange::Author, &RecentChange::Version,
-      &RecentChange::UnixMillis, &RecentChange::Items,
-      &RecentChange::ConfigVersion};
+      &RecentChange::Id,      &RecentChange::Author,
+      &RecentChange::Version, &RecentChange::UnixMillis,
+      &RecentChange::Items,   &RecentChange::ConfigVersion};
 };
 
 template <> struct PeerFields<ConfigHead> {
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -3,8 +3,8 @@
 #ifndef GUAVASAIL_SRC_REDUCER_STATE_H
 #define GUAVASAIL_SRC_REDUCER_STATE_H
 
-#include "balancer.h"
 #include "arrival_hold.h"
+#include "balancer.h"
 #include "catalog_index.h"
 #include "config_part.h"
 #include "dispatcher.h"
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -420,8 +420,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, RestoredVersion,
-                         testing::ValuesIn(RestoredCases),
-                         [](const auto &it) {
+                         testing::ValuesIn(RestoredCases), [](const auto &it) {
                            return std::string(it.param.Name);
                          });
 
--- a/tests/edge_harness.cpp
+++ b/tests/edge_harness.cpp
@@ -75,8 +75,8 @@
   address.sun_family = AF_UNIX;
   std::string name = "guavasail-test-port-" + std::to_string(port);
   std::copy(name.begin(), name.end(), address.sun_path + 1);
-  auto length = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 +
-                                       name.size());
+  auto length =
+      static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
   int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (::bind(fd, reinterpret_cast<sockaddr *>(&address), length) == 0)
     return true;
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -37,9 +37,9 @@
     for (size_t n = 0; n < Ports.size(); ++n)
       startDaemon(n);
     for (size_t n = 0; n < Ports.size(); ++n)
-      EXPECT_TRUE(
-          await([&] { return answerOf(Ports[n], "/-/ready") == "200"; }))
-          << textOf("vm-" + std::to_string(n) + ".log");
+      EXPECT_TRUE(await([&] {
+        return answerOf(Ports[n], "/-/ready") == "200";
+      })) << textOf("vm-" + std::to_string(n) + ".log");
   }
 
   /// Writes the store's items and tells it.
@@ -52,9 +52,8 @@
   void signalStore(int number) const {
     Store->signal(number);
     std::string line = "signal " + std::to_string(number);
-    EXPECT_TRUE(await([&] {
-      return textOf("store.log").find(line) != std::string::npos;
-    }));
+    EXPECT_TRUE(await(
+        [&] { return textOf("store.log").find(line) != std::string::npos; }));
   }
 
   /// \returns true if the store lists the VM \p n.
@@ -134,7 +133,8 @@
     ++Writes;
     std::ofstream items(file("items"));
     items << "op/config\t"
-          << R"({"version":)" << 6 + Writes << R"(,"tenants":[{"name":"school","api_keys":[")" << key
+          << R"({"version":)" << 6 + Writes
+          << R"(,"tenants":[{"name":"school","api_keys":[")" << key
           << R"("],"rate_per_s":50,"burst":50}],"listeners":[{"host":)"
           << R"("shop.example","rules":[{"name":"r","kind":")" << Kind
           << R"(","match":{"prefix":"/a/"},"action":{"service":"s",)"
@@ -648,8 +648,7 @@
         [&] { return deployment.statusWith(port, "third-key").empty(); }));
   }
   for (size_t n = 0; n < deployment.Daemons.size(); ++n) {
-    EXPECT_TRUE(
-        Deployment::await([&] { return deployment.isRegistered(n); }));
+    EXPECT_TRUE(Deployment::await([&] { return deployment.isRegistered(n); }));
     EXPECT_TRUE(deployment.Daemons[n]->running());
   }
 }
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -67,9 +67,9 @@
                           {"has_more", more},
                           {"store_revision", page.StoreRevision}}
                          .dump();
-  std::string era = page.Era == 0 ? std::string()
-                                  : "Store-Era: " + std::to_string(page.Era) +
-                                        "\r\n";
+  std::string era = page.Era == 0
+                        ? std::string()
+                        : "Store-Era: " + std::to_string(page.Era) + "\r\n";
   return "HTTP/1.1 200 OK\r\n" + era +
          "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/tests/restore_guard_test.cpp
+++ b/tests/restore_guard_test.cpp
@@ -60,8 +60,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, RestoredInstance,
-                         testing::ValuesIn(InstanceCases),
-                         [](const auto &it) {
+                         testing::ValuesIn(InstanceCases), [](const auto &it) {
                            return std::string(it.param.Name);
                          });
 
