Test statuses outside the range over TLS, and decide holds at the start only

The edge of the HTTP library had no test for a response with status 000, 099, 600 or 2000. The hold of requests computed the freshness of the configuration for each arrival; it does so only until a VM has decided its first request.

--- a/src/arrival_hold.cpp
+++ b/src/arrival_hold.cpp
@@ -23,9 +23,9 @@
   return event;
 }
 
-bool ArrivalHold::hold(const RequestArrived &event, bool admits, Instant now) {
-  Started |= admits;
-  if (Started || Limit == Duration::zero())
+bool ArrivalHold::hold(const RequestArrived &event, bool decides, Instant now) {
+  Started |= decides;
+  if (!isStarting())
     return false;
   if (FirstArrivalAt == Instant{})
     FirstArrivalAt = now;
@@ -40,8 +40,8 @@
   return true;
 }
 
-std::optional<HeldArrival> ArrivalHold::take(bool admits, Instant now) {
-  bool due = !Items.empty() && (admits || Items.front().Until <= now);
+std::optional<HeldArrival> ArrivalHold::take(bool decides, Instant now) {
+  bool due = !Items.empty() && (decides || Items.front().Until <= now);
   if (!due)
     return std::nullopt;
   std::optional<HeldArrival> arrival(std::move(Items.front().Arrival));
--- a/src/arrival_hold.h
+++ b/src/arrival_hold.h
@@ -40,15 +40,20 @@
   /// \param limit longest time for which a request is held; zero holds none.
   explicit ArrivalHold(Duration limit) : Limit(limit) {}
 
-  /// Holds a request if this VM has just started and has not admitted any.
-  /// \param admits whether this VM can admit requests at present.
+  /// \returns true if requests may have to be held.
+  [[nodiscard]] bool isStarting() const {
+    return !Started && Limit > Duration::zero();
+  }
+
+  /// Holds a request if this VM has just started and has decided none.
+  /// \param decides whether this VM can decide requests at present.
   /// \returns false if the request has to be decided now, also for lack of
   /// memory.
-  bool hold(const RequestArrived &event, bool admits, Instant now);
+  bool hold(const RequestArrived &event, bool decides, Instant now);
 
-  /// \param admits whether this VM can admit requests at present.
+  /// \param decides whether this VM can decide requests at present.
   /// \returns the oldest request that has to be decided now.
-  std::optional<HeldArrival> take(bool admits, Instant now);
+  std::optional<HeldArrival> take(bool decides, Instant now);
 
   [[nodiscard]] bool empty() const { return Items.empty(); }
   [[nodiscard]] Instant nextDue() const {
@@ -62,7 +67,7 @@
   };
 
   Duration Limit;
-  /// The VM has admitted requests: it is not starting any more.
+  /// The VM has decided a request: it is not starting any more.
   bool Started = false;
   /// When the first request arrived; epoch if none has.
   Instant FirstArrivalAt{};
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -64,23 +64,25 @@
   request.Fingerprint = event.Fingerprint;
   request.BodyReplayable = event.BodyBytes <= Bounds.MaxReplayBytes;
   request.Arrived = step.Now;
-  if (Held.hold(event, Draining || admitsRequests(step.Now), step.Now)) {
-    request.Phase = RequestPhase::AwaitingAdmission;
-    return;
-  }
-  admitArrived(request, event, step);
+  bool held = Held.isStarting() &&
+              Held.hold(event, decidesRequests(step.Now), step.Now);
+  if (!held)
+    return admitArrived(request, event, step);
+  request.Phase = RequestPhase::AwaitingAdmission;
 }
 
-bool ReducerState::admitsRequests(Instant now) const {
-  return Ready && admits(Config.freshState(now));
+/// \returns true if a decision on a request does not depend on the start of
+/// this VM any more.
+bool ReducerState::decidesRequests(Instant now) const {
+  return Draining || (Ready && admits(Config.freshState(now)));
 }
 
 /// Decides held requests once this VM can admit them, or their time is over.
 void ReducerState::resumeHeld(Step &step) {
   if (Held.empty())
     return;
-  bool admits = Draining || admitsRequests(step.Now);
-  while (auto held = Held.take(admits, step.Now)) {
+  bool decides = decidesRequests(step.Now);
+  while (auto held = Held.take(decides, step.Now)) {
     RequestArrived event = held->event();
     Request *request = Requests.find(event.Request);
     if (request)
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -76,7 +76,7 @@
   // Callers (reducer_request.cpp).
   void onRequestArrived(const RequestArrived &event, Step &step);
   void admitArrived(Request &request, const RequestArrived &event, Step &step);
-  [[nodiscard]] bool admitsRequests(Instant now) const;
+  [[nodiscard]] bool decidesRequests(Instant now) const;
   void resumeHeld(Step &step);
   void onCallerDisconnected(const CallerDisconnected &event, Step &step);
 
--- a/tests/edge_tls_test.cpp
+++ b/tests/edge_tls_test.cpp
@@ -85,35 +85,57 @@
   return out << row.Name;
 }
 
+/// A caller that sends one request over TLS and expects five bytes.
+class SecureCaller {
+public:
+  SecureCaller(const EdgeDaemon &daemon, std::string_view protocol,
+               std::string_view method)
+      : Figures(daemon.file("caller")), Program({LOAD_CALLER_BINARY,
+                                                 "--tls",
+                                                 "--port",
+                                                 std::to_string(daemon.port()),
+                                                 "--alpn",
+                                                 std::string(protocol),
+                                                 "--method",
+                                                 std::string(method),
+                                                 "--key",
+                                                 std::string(EdgeKey),
+                                                 "--path",
+                                                 "/r/x",
+                                                 "--requests",
+                                                 "1",
+                                                 "--concurrency",
+                                                 "1",
+                                                 "--expect_bytes",
+                                                 "5",
+                                                 "--max_seconds",
+                                                 "10",
+                                                 "--idempotency_key",
+                                                 "i7"},
+                                                Figures) {}
+
+  /// Waits for its end.
+  /// \returns the exit status.
+  int wait() { return Program.wait(); }
+
+  /// \returns what it counted.
+  [[nodiscard]] std::string figures() const {
+    std::ostringstream text;
+    text << std::ifstream(Figures + ".out").rdbuf();
+    return text.str();
+  }
+
+private:
+  std::string Figures;
+  Child Program;
+};
+
 class EdgeSecure : public testing::TestWithParam<SecureCase> {};
 
 TEST_P(EdgeSecure, IsAnswered) {
   const SecureCase &row = GetParam();
   EdgeDaemon daemon(secureOptions());
-  std::string figures = daemon.file("caller");
-  Child caller({LOAD_CALLER_BINARY,
-                "--tls",
-                "--port",
-                std::to_string(daemon.port()),
-                "--alpn",
-                std::string(row.Protocol),
-                "--method",
-                std::string(row.Method),
-                "--key",
-                std::string(EdgeKey),
-                "--path",
-                "/r/x",
-                "--requests",
-                "1",
-                "--concurrency",
-                "1",
-                "--expect_bytes",
-                "5",
-                "--max_seconds",
-                "10",
-                "--idempotency_key",
-                "i7"},
-               figures);
+  SecureCaller caller(daemon, row.Protocol, row.Method);
   if (row.Forwarded) {
     Wire backend = daemon.Backend.accept();
     while (!wholeRequest(backend.Received) && backend.receive()) {
@@ -124,10 +146,8 @@
     backend.send(Answer);
   }
   EXPECT_EQ(caller.wait(), 0);
-  std::ostringstream text;
-  text << std::ifstream(figures + ".out").rdbuf();
   std::string_view want = row.Forwarded ? "load.whole 1 " : "load.refused 1 ";
-  EXPECT_NE(text.str().find(want), std::string::npos) << text.str();
+  EXPECT_NE(caller.figures().find(want), std::string::npos) << caller.figures();
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, EdgeSecure, testing::ValuesIn(SecureCases),
@@ -135,6 +155,42 @@
                            return std::string(it.param.Name);
                          });
 
+/// A status that no response has.
+struct BadStatusCase {
+  std::string_view Name;
+  std::string_view Status;
+};
+
+const BadStatusCase BadStatuses[] = {
+    {"Zero", "000"}, {"Below", "099"}, {"Above", "600"}, {"Long", "2000"}};
+
+std::ostream &operator<<(std::ostream &out, const BadStatusCase &row) {
+  return out << row.Name;
+}
+
+class EdgeSecureStatus : public testing::TestWithParam<BadStatusCase> {};
+
+/// Guards against a response of an instance in trouble that reaches a caller
+/// with its status, on the edge of the HTTP library.
+TEST_P(EdgeSecureStatus, OutsideTheRangeIsNotPassedOn) {
+  EdgeDaemon daemon(secureOptions());
+  SecureCaller caller(daemon, "http/1.1", "POST");
+  Wire backend = daemon.Backend.accept();
+  while (!wholeRequest(backend.Received) && backend.receive()) {
+  }
+  backend.send("HTTP/1.1 " + std::string(GetParam().Status) +
+               " Odd\r\ncontent-length: 5\r\n\r\nabcde");
+  caller.wait();
+  EXPECT_NE(caller.figures().find("load.whole 0 "), std::string::npos)
+      << caller.figures();
+  EXPECT_TRUE(daemon.Process->running());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EdgeSecureStatus,
+                         testing::ValuesIn(BadStatuses), [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 /// How the instance ends an answer without a length.
 struct UnframedCase {
   std::string_view Name;
