Keep rate tokens that are granted too late

Cause: when the owner does not reply within 450 ms, a VM admits from its local share. Since tokens are returned, the owner's late token came back too, so that both were used.

Change: a token that comes after the decision is not returned.

--- a/src/reducer_quota.cpp
+++ b/src/reducer_quota.cpp
@@ -60,12 +60,11 @@
 void ReducerState::onQuotaReply(const QuotaReply &reply, VmHandle from,
                                 Step &step) {
   Request *request = Requests.find(reply.Request);
+  // A late token is not returned: its request may have been admitted from the
+  // local share meanwhile, and both together would exceed the rate.
   if (!request || request->Phase != RequestPhase::AwaitingAdmission ||
-      request->AskedVm != from) {
-    if (reply.Verdict == QuotaVerdict::Admitted)
-      returnToken(from, {reply.Workspace, reply.Request}, step);
+      request->AskedVm != from)
     return;
-  }
   switch (reply.Verdict) {
   case QuotaVerdict::Admitted:
     request->HoldsToken = true;
