--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -605,10 +605,10 @@
 // Daemons.
 
 Daemon::Daemon(const Store &store, Record &record, std::string folder,
-               std::string name, std::string zone)
+               std::string name, std::string zone, int memoryMegabytes)
     : Platform(store), Notes(record), Folder(std::move(folder)),
-      Name(std::move(name)), Zone(std::move(zone)), Port(freePort()),
-      ReadyPort(freePort()), PeerPort(freePort()) {}
+      Name(std::move(name)), Zone(std::move(zone)), Memory(memoryMegabytes),
+      Port(freePort()), ReadyPort(freePort()), PeerPort(freePort()) {}
 
 Daemon::~Daemon() {
   if (Process <= 0)
@@ -634,7 +634,7 @@
                  {"listen_addresses.ready", at(ReadyPort)},
                  {"internal_port_range.0", std::to_string(PeerPort)},
                  {"platform.address", at(Platform.port())},
-                 {"limits.memory_mb", "260"},
+                 {"limits.memory_mb", std::to_string(Memory)},
                  {"limits.file_descriptors", "4100"},
                  {"limits.cpu_share", "0.2"},
                  {"bounds.grace_s", "6"},
@@ -684,6 +684,15 @@
   return false;
 }
 
+double Daemon::memoryMegabytes() const {
+  std::ifstream file("/proc/" + std::to_string(Process) + "/status");
+  std::string line;
+  while (std::getline(file, line))
+    if (line.starts_with("VmRSS:"))
+      return std::strtod(line.c_str() + 6, nullptr) / 1024;
+  return 0;
+}
+
 bool Daemon::reap() {
   int status = 0;
   if (Process <= 0 || ::waitpid(Process, &status, WNOHANG) != Process)
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -223,7 +223,7 @@
 class Daemon {
 public:
   Daemon(const Store &store, Record &record, std::string folder,
-         std::string name, std::string zone);
+         std::string name, std::string zone, int memoryMegabytes = 260);
   ~Daemon();
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
@@ -240,6 +240,8 @@
 
   [[nodiscard]] const std::string &name() const { return Name; }
   [[nodiscard]] uint16_t port() const { return Port; }
+  /// \returns the memory of the process in megabytes, 0 without one.
+  [[nodiscard]] double memoryMegabytes() const;
 
 private:
   /// \returns true if the process has ended, and notes how.
@@ -251,6 +253,7 @@
   std::string Folder;
   std::string Name;
   std::string Zone;
+  int Memory;
   uint16_t Port;
   uint16_t ReadyPort;
   uint16_t PeerPort;
