--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -69,6 +69,7 @@
   double end = seconds() + LongSeconds;
   std::atomic<int> longAnswers{0};
   std::vector<std::thread> threads;
+  threads.reserve(LongCallers);
   for (int n = 0; n < LongCallers; ++n)
     threads.emplace_back([&] {
       Call call;
