--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -16,6 +16,7 @@
 #include <random>
 #include <sodium.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -697,6 +698,8 @@
                         nullptr};
   Process = ::fork();
   if (Process == 0) {
+    // The daemon does not outlive the case, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(fd, 1);
     ::dup2(fd, 2);
