Idempotency keys without a workspace: no record, and no end of the daemon

Cause: admitted at-most-once requests with the header began the claim of a record, also without a workspace. The id of a record is made of the key and the workspace's name, which was looked up by an invalid handle. The sanitizer build stops in NameTable::name below ReducerState::beginClaim, and nothing was sent to an instance before.

claimsRecord() asks for a workspace: callers without one cannot be told apart, and two of them may choose the same key, so a record could give one the answer of the other. The request runs like one without the header, once for each time that it is sent, and the header reaches the instance. The front ends hold back bodies and keep answers only for callers with a key. The other uses of handles on the path of a request (rates, fair order, placement, quarantine, releases, logs) were read and check them already; LossUnderRequest covers a configuration that drops what a request names.

--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -219,10 +219,8 @@
     exchange.RetryAfter = RoomRetryAfter;
     return refuseEarly(wsi, exchange, RefusalKind::Overloaded);
   }
-  bool keyed = event.Repeat == Repeatability::AtMostOnce &&
-               event.IdempotencyKey.present();
-  exchange.KeepAnswer = keyed;
-  bool hold = keyed && event.BodyBytes > 0 &&
+  exchange.KeepAnswer = mayClaimRecord(event);
+  bool hold = exchange.KeepAnswer && event.BodyBytes > 0 &&
               event.BodyBytes <= Config.Bounds.MaxReplayBytes;
   if (hold)
     exchange.Held = event;
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -366,10 +366,8 @@
     exchange.RetryAfter = RoomRetryAfter;
     return refuseEarly(exchange, RefusalKind::Overloaded);
   }
-  bool keyed = event.Repeat == Repeatability::AtMostOnce &&
-               event.IdempotencyKey.present();
-  exchange.KeepAnswer = keyed;
-  bool hold = keyed && !it.RequestRead && exchange.MayHaveBody &&
+  exchange.KeepAnswer = mayClaimRecord(event);
+  bool hold = exchange.KeepAnswer && !it.RequestRead && exchange.MayHaveBody &&
               event.BodyBytes <= bounds.MaxReplayBytes;
   if (hold)
     exchange.Held = event;
--- a/src/reducer_record.cpp
+++ b/src/reducer_record.cpp
@@ -60,8 +60,14 @@
       {step.Now + MaintenanceInterval, {}, TimerKind::RecordMaintenance});
 }
 
-void ReducerState::beginClaim(Request &request, const Digest &key, Step &step) {
-  Digest record = recordId(key, Catalog.name(request.Workspace));
+bool ReducerState::claimsRecord(const Request &request) const {
+  return request.Repeat == Repeatability::AtMostOnce &&
+         request.IdempotencyKey.present() && request.Workspace.valid();
+}
+
+void ReducerState::beginClaim(Request &request, Step &step) {
+  Digest record =
+      recordId(request.IdempotencyKey, Catalog.name(request.Workspace));
   const RecordAssignment &assignment =
       Records.assignment(recordPartition(record));
   if (assignment.Replicas.count() == 0)
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -118,10 +118,8 @@
 }
 
 void ReducerState::beginRun(Request &request, Step &step) {
-  bool keyed = request.Repeat == Repeatability::AtMostOnce &&
-               request.IdempotencyKey.present();
-  if (keyed)
-    return beginClaim(request, request.IdempotencyKey, step);
+  if (claimsRecord(request))
+    return beginClaim(request, step);
   startAttempt(request, step);
 }
 
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -55,7 +55,10 @@
   void onPeer(VmHandle from, const RecordOutcome &message, Step &step);
   void onPeer(VmHandle from, const RecordCopyRequest &message, Step &step);
   void onPeer(VmHandle from, const RecordCopyChunk &message, Step &step);
-  void beginClaim(Request &request, const Digest &key, Step &step);
+  /// \returns true if the request runs only after a claim of its record. A
+  /// record belongs to a workspace: callers without one cannot be told apart.
+  [[nodiscard]] bool claimsRecord(const Request &request) const;
+  void beginClaim(Request &request, Step &step);
   void sendClaims(Request &request, Step &step);
   void handleClaimReply(Request &request, uint32_t position,
                         const RecordClaimReply &reply, Step &step);
--- a/src/request_head.cpp
+++ b/src/request_head.cpp
@@ -201,6 +201,11 @@
   return out;
 }
 
+bool mayClaimRecord(const RequestArrived &event) {
+  return event.Repeat == Repeatability::AtMostOnce &&
+         event.IdempotencyKey.present() && event.Key.present();
+}
+
 RefusalKind refusalOf(ReadFault fault) {
   switch (fault) {
   case ReadFault::HeadTooLarge:
--- a/src/request_head.h
+++ b/src/request_head.h
@@ -22,6 +22,10 @@
                                            Exchange &exchange,
                                            RequestArrived &event);
 
+/// \returns true if the answer to the request may be kept for repetitions of
+/// it.
+bool mayClaimRecord(const RequestArrived &event);
+
 /// \returns what a request's unreadable bytes are refused as.
 RefusalKind refusalOf(ReadFault fault);
 
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -18,10 +18,24 @@
 constexpr int WaitMillis = 10000;
 constexpr int StepMillis = 50;
 
+/// Who may use the routes of a deployment.
+enum class Access : uint8_t {
+  /// Callers with a key.
+  Keyed,
+  /// All; callers with a key have its workspace.
+  Open,
+  /// All; the configuration has no workspaces.
+  NoWorkspaces,
+};
+
+constexpr std::string_view RouteKinds[] = {"safe", "unsafe", "download",
+                                           "upload"};
+
 /// One deployment.
 class Deployment {
 public:
-  explicit Deployment(std::string_view kind) : Kind(kind) {
+  explicit Deployment(std::string_view kind, Access access = Access::Keyed)
+      : Kind(kind), Users(access) {
     std::string pattern = testing::TempDir() + "guavasail-path-XXXXXX";
     Folder = ::mkdtemp(pattern.data());
     setenv("GUAVASAIL_PEER_SECRET", "path-secret", 1);
@@ -133,13 +147,15 @@
     ++Writes;
     std::ofstream items(file("items"));
     items << "op/config\t"
-          << R"({"version":)" << 6 + Writes
-          << R"(,"tenants":[{"name":"school","api_keys":[")" << key
-          << R"("],"rate_per_s":50,"burst":50}],"listeners":[{"host":)"
-          << R"("shop.example","rules":[{"name":"r","kind":")" << Kind
-          << R"(","match":{"prefix":"/a/"},"action":{"service":"s",)"
-          << R"("timeout_ms":3000,"attempts":2}}]}],)"
-          << R"("clusters":[{"name":"s"}]})"
+          << R"({"version":)" << 6 + Writes;
+    if (Users != Access::NoWorkspaces)
+      items << R"(,"tenants":[{"name":"school","api_keys":[")" << key
+            << R"("],"rate_per_s":50,"burst":50}])";
+    items << R"(,"listeners":[{"host":"shop.example","rules":[)"
+          << rule("a", Kind);
+    for (std::string_view kind : RouteKinds)
+      items << "," << rule(kind, kind);
+    items << R"(]}],"clusters":[{"name":"s"}]})"
           << "\n"
           << "servers/i-1\t"
           << R"({"service":"s","address":"127.0.0.1:)" << Backend.port()
@@ -150,6 +166,18 @@
           << Odd;
   }
 
+  /// \returns the rule of the paths below "/NAME/".
+  [[nodiscard]] std::string rule(std::string_view name,
+                                 std::string_view kind) const {
+    std::string text = R"({"name":")";
+    text.append(name).append(R"(","kind":")").append(kind);
+    text.append(R"(","match":{"prefix":"/)").append(name).append(R"(/"},)");
+    if (Users == Access::Open)
+      text.append(R"("allow_anonymous":true,)");
+    return text.append(
+        R"("action":{"service":"s","timeout_ms":3000,"attempts":2}})");
+  }
+
   void startDaemon(size_t n) {
     std::string name = "vm-" + std::to_string(n);
     std::ofstream settings(file(name));
@@ -177,6 +205,7 @@
   }
 
   std::string Kind;
+  Access Users;
   /// How often the operator and the instance have written.
   uint32_t Writes = 0;
   /// A further line of the items.
@@ -296,6 +325,63 @@
                            return std::string(it.param.Name);
                          });
 
+/// A caller that may send idempotency keys.
+struct IdempotencyKeyCase {
+  std::string_view Name;
+  Access Users;
+  std::string_view Fields;
+};
+
+const IdempotencyKeyCase IdempotencyKeyCases[] = {
+    {"OpenPlain", Access::Open, ""},
+    {"Open", Access::Open, "idempotency-key: closure-1\r\n"},
+    {"NoWorkspacesPlain", Access::NoWorkspaces, ""},
+    {"NoWorkspaces", Access::NoWorkspaces, "idempotency-key: closure-1\r\n"},
+};
+
+std::ostream &operator<<(std::ostream &out, const IdempotencyKeyCase &row) {
+  return out << row.Name;
+}
+
+class IdempotencyKeyPath : public testing::TestWithParam<IdempotencyKeyCase> {};
+
+/// Guards against requests with an idempotency key that end the daemon, that
+/// reach no instance, or that get another caller's answer.
+TEST_P(IdempotencyKeyPath, EachCallerIsServed) {
+  const IdempotencyKeyCase &row = GetParam();
+  Deployment deployment("safe", row.Users);
+  int number = 0;
+  for (std::string_view kind : RouteKinds) {
+    for (std::string_view body : {"first", "second"}) {
+      std::string id = "id-" + std::to_string(++number);
+      std::string request = "POST /" + std::string(kind) +
+                            "/x HTTP/1.1\r\nhost: shop.example\r\n"
+                            "x-request-id: " +
+                            id + "\r\n" + std::string(row.Fields) +
+                            "content-length: 4\r\n\r\nbody";
+      Wire caller = Wire::dial(deployment.Ports[0]);
+      caller.send(request);
+      Wire lane = takeRequest(deployment);
+      ASSERT_TRUE(lane.Received.starts_with("POST /")) << id << lane.Received;
+      EXPECT_NE(lane.Received.find(row.Fields), std::string::npos);
+      lane.send(answerTo(id, body));
+      lane.close();
+      readAnswer(caller);
+      EXPECT_TRUE(caller.Received.starts_with("HTTP/1.1 200"))
+          << caller.Received;
+      EXPECT_TRUE(caller.Received.ends_with(body)) << caller.Received;
+    }
+  }
+  for (const auto &it : deployment.Daemons)
+    EXPECT_TRUE(it->running());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, IdempotencyKeyPath,
+                         testing::ValuesIn(IdempotencyKeyCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 /// What the only instance says with its first answer. It gets no second
 /// request.
 struct TurnedAwayCase {
