Idempotency keys on fleets of the store: served, not refused with 504

A caller with a valid key that sends Idempotency-Key, as HTTP recommends, got 504 (outcome unknown) at once for each at-most-once request, and nothing was sent to an instance.

VMs that find each other in the store are not listed, and each assigned all records to itself alone, in an unknown earlier incarnation.

Such records can be neither complete nor common, so these fleets keep none (Settings::assignsRecords, ReducerInit::KeepsRecords) and log records-not-kept. Marking them complete would promise what a restart breaks. The request runs at most once for each time that it is sent, refusals stay true, and the header reaches the instance. Records over the store stay open.

--- a/include/guavasail/reducer.h
+++ b/include/guavasail/reducer.h
@@ -52,6 +52,9 @@
   /// Greater than in any earlier start of this VM; the low 20 bits are zero.
   uint64_t Incarnation = 0;
   MembershipKind Membership = MembershipKind::Probing;
+  /// Repetitions of at-most-once requests are matched by their idempotency
+  /// keys. A request is refused until the replicas of its record are assigned.
+  bool KeepsRecords = true;
   /// How VMs share rates in `FleetKind::Alone`.
   RateInit Rates;
   FleetKind Fleet = FleetKind::Alone;
--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -148,6 +148,12 @@
   PeerSettings Peers;
   /// VMs of the fleet at startup, including this one.
   std::vector<VmSpec> Vms;
+
+  /// \returns true if all VMs derive the same replicas of idempotency records
+  /// from the settings. VMs that find each other in the store cannot.
+  [[nodiscard]] bool assignsRecords() const {
+    return !Vms.empty() || Fleet.PeerPort == 0;
+  }
 };
 
 /// Reads a settings file.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -92,6 +92,7 @@
   init.Name = settings.Daemon.Name;
   init.Zone = settings.Daemon.Zone;
   init.Seed = randomSeed();
+  init.KeepsRecords = settings.assignsRecords();
   // Each listed VM has a fixed part of each rate, whether it runs or not.
   init.Rates.EvenSplitParts =
       std::max<uint32_t>(1, static_cast<uint32_t>(settings.Vms.size()));
@@ -260,6 +261,8 @@
 }
 
 void Daemon::assignRecords() {
+  if (!Config.assignsRecords())
+    return logLine(LogLevel::Info, "records-not-kept", {});
   VmSpec alone;
   alone.Name = Config.Daemon.Name;
   std::span<const VmSpec> vms(Config.Vms);
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -219,7 +219,7 @@
     exchange.RetryAfter = RoomRetryAfter;
     return refuseEarly(wsi, exchange, RefusalKind::Overloaded);
   }
-  exchange.KeepAnswer = mayClaimRecord(event);
+  exchange.KeepAnswer = mayClaimRecord(event, Config);
   bool hold = exchange.KeepAnswer && event.BodyBytes > 0 &&
               event.BodyBytes <= Config.Bounds.MaxReplayBytes;
   if (hold)
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -366,7 +366,7 @@
     exchange.RetryAfter = RoomRetryAfter;
     return refuseEarly(exchange, RefusalKind::Overloaded);
   }
-  exchange.KeepAnswer = mayClaimRecord(event);
+  exchange.KeepAnswer = mayClaimRecord(event, Config);
   bool hold = exchange.KeepAnswer && !it.RequestRead && exchange.MayHaveBody &&
               event.BodyBytes <= bounds.MaxReplayBytes;
   if (hold)
--- a/src/reducer.cpp
+++ b/src/reducer.cpp
@@ -85,9 +85,9 @@
       Picker(init.Balance, init.Seed), Records(RecordLimits{}),
       CrashQuarantine(QuarantineLimits{}),
       ClaimTokens(init.Seed), Self{vmId(init.Name), init.Incarnation},
-      Rates(init.Rates), Dispatch(init.Dispatch), Presence(init.Presence),
-      Fleet(init.Fleet), Zone(Catalog.zone(init.Zone)),
-      Held(init.Bounds.StartHold) {
+      KeepsRecords(init.KeepsRecords), Rates(init.Rates),
+      Dispatch(init.Dispatch), Presence(init.Presence), Fleet(init.Fleet),
+      Zone(Catalog.zone(init.Zone)), Held(init.Bounds.StartHold) {
   Records.setSelf(Self);
 }
 
--- a/src/reducer_record.cpp
+++ b/src/reducer_record.cpp
@@ -61,7 +61,7 @@
 }
 
 bool ReducerState::claimsRecord(const Request &request) const {
-  return request.Repeat == Repeatability::AtMostOnce &&
+  return KeepsRecords && request.Repeat == Repeatability::AtMostOnce &&
          request.IdempotencyKey.present() && request.Workspace.valid();
 }
 
--- a/src/reducer_state.h
+++ b/src/reducer_state.h
@@ -223,6 +223,8 @@
   /// Random generator of claim tokens.
   std::mt19937_64 ClaimTokens;
   RecordReplicaId Self;
+  /// See `ReducerInit`. Otherwise no request claims a record.
+  bool KeepsRecords;
   bool MaintenanceArmed = false;
   RateLimiter Rates;
   /// Requests in `RequestPhase::AwaitingAdmission`, in order of arrival.
--- a/src/request_head.cpp
+++ b/src/request_head.cpp
@@ -201,8 +201,9 @@
   return out;
 }
 
-bool mayClaimRecord(const RequestArrived &event) {
-  return event.Repeat == Repeatability::AtMostOnce &&
+bool mayClaimRecord(const RequestArrived &event, const Settings &settings) {
+  return settings.assignsRecords() &&
+         event.Repeat == Repeatability::AtMostOnce &&
          event.IdempotencyKey.present() && event.Key.present();
 }
 
--- a/src/request_head.h
+++ b/src/request_head.h
@@ -8,6 +8,7 @@
 #include "guavasail/header_names.h"
 #include "guavasail/limits.h"
 #include "guavasail/refusal.h"
+#include "guavasail/settings.h"
 #include "http_reader.h"
 
 #include <optional>
@@ -24,7 +25,7 @@
 
 /// \returns true if the answer to the request may be kept for repetitions of
 /// it.
-bool mayClaimRecord(const RequestArrived &event);
+bool mayClaimRecord(const RequestArrived &event, const Settings &settings);
 
 /// \returns what a request's unreadable bytes are refused as.
 RefusalKind refusalOf(ReadFault fault);
