Answers without a length: callers can tell the whole from a part

Cause: the instance's framing was passed on, so for the caller too only the end of the connection ended the answer. The system ends the connections of a killed process in order, behind the bytes that it had taken. The same held without a kill: a caller that read too slowly was disconnected in order.

The framing towards a caller is now the daemon's own: a length if the answer is whole when its head goes out, else chunks, whose last one follows once the instance has closed in order. HTTP/1.0 has no chunks: such answers are held until they are whole; one that does not fit the buffer goes out on a socket that any close resets, also that by the system, until its last byte was taken. A broken answer over TLS is always reset.

--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -425,10 +425,11 @@
   answer.Status = head.Status;
   answer.Length = head.Length;
   answer.Chunked = head.Chunked;
-  answer.UntilClose = it.Reader->endsWithConnection();
   answer.Fields = head.Fields;
   dropHopByHop(answer.Fields);
-  if (!Bounds.BufferResponses)
+  // An HTTP/1.0 caller needs a length, which only a whole answer has.
+  bool hold = Bounds.BufferResponses || (exchange.OldCaller && !head.Length);
+  if (!hold)
     postAnswered(it);
   return true;
 }
@@ -470,7 +471,7 @@
   bool bodyless = exchange.Method == "HEAD" || call.Head.Status == 204 ||
                   call.Head.Status == 304;
   // A whole answer in hand has a length, whatever way it came.
-  if (!it.Answered && !bodyless && !call.Head.UntilClose)
+  if (!it.Answered && !bodyless)
     call.Head.Length = call.AnswerBytes;
   postAnswered(it);
   bool keep = exchange.KeepAnswer && call.AnswerBytes == call.Kept.size();
@@ -517,7 +518,6 @@
   if (last && it.Call && exchange) {
     it.Reader->end();
     it.Tainted = true;
-    it.Call->Head.UntilClose = true;
     logLine(LogLevel::Info, "backend-answer-unframed",
             {{"request", requestId(*exchange)},
              {"instance", std::string_view(it.Spec.Name)},
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -33,9 +33,6 @@
   std::optional<uint64_t> Length;
   /// The body ends with a chunk of its own.
   bool Chunked = false;
-  /// Only the end of the connection ends the body. The caller has to see that
-  /// too, since nothing tells whether the body is whole.
-  bool UntilClose = false;
   std::vector<HeaderField> Fields;
 };
 
@@ -101,7 +98,15 @@
 };
 
 /// What the caller's side has to do next.
-enum class AnswerStage : uint8_t { Waiting, Head, Body, Broken, Refusal };
+enum class AnswerStage : uint8_t {
+  Waiting,
+  Head,
+  Body,
+  /// All is written; the connection ends once the system has taken it.
+  Written,
+  Broken,
+  Refusal
+};
 
 /// One request in progress.
 struct Exchange {
@@ -150,6 +155,8 @@
   AnswerStage Stage = AnswerStage::Waiting;
   bool AnswerWhole = false;
   bool AnswerChunked = false;
+  /// Only the end of the connection ends the body.
+  bool AnswerUntilClose = false;
   RefusalKind Refusal = RefusalKind::NoInstance;
   Duration RetryAfter{};
   std::vector<std::unique_ptr<BackendCall>> Calls;
@@ -173,6 +180,14 @@
     return nullptr;
   }
 
+  /// Chooses how the answer's body ends for the caller. HTTP/1.0 knows nothing
+  /// but a length and the end of the connection.
+  void frameAnswer(bool bodyless, bool framedByProtocol) {
+    bool framed = bodyless || framedByProtocol || Source->Head.Length;
+    AnswerChunked = !framed && !OldCaller;
+    AnswerUntilClose = !framed && OldCaller;
+  }
+
   /// \returns the number of body bytes received so far.
   [[nodiscard]] uint64_t receivedBytes() const {
     return BodyBase + Body.size();
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -5,6 +5,7 @@
 #include "http_request.h"
 #include "log.h"
 #include "request_head.h"
+#include "tcp_stream.h"
 
 #include <algorithm>
 #include <array>
@@ -90,6 +91,13 @@
             {{"error", static_cast<int64_t>(errno)}});
 }
 
+/// Resets the connection however it closes, or lets it end in order again.
+void setCallerReset(lws *wsi, bool reset) {
+  if (int error = setAbortiveClose(lws_get_socket_fd(wsi), reset))
+    logLine(LogLevel::Warning, "caller-not-reset",
+            {{"error", static_cast<int64_t>(error)}});
+}
+
 /// Bounds what the system holds of a connection, in each direction.
 void boundSocket(int fd) {
   int size = SocketBufferBytes;
@@ -384,6 +392,8 @@
     return writeHead(*exchange);
   case AnswerStage::Body:
     return writeBody(*exchange);
+  case AnswerStage::Written:
+    return endWritten(*exchange);
   case AnswerStage::Broken:
     return breakOff(*exchange);
   case AnswerStage::Refusal:
@@ -399,14 +409,14 @@
   bool ok = head.status(answer.Status) && head.fields(answer.Fields);
   bool bodyless =
       exchange.Method == "HEAD" || answer.Status == 204 || answer.Status == 304;
-  bool untilClose = exchange.OldCaller || answer.UntilClose;
-  exchange.AnswerChunked =
-      !bodyless && !answer.Length && !isHttp2(wsi) && !untilClose;
+  exchange.frameAnswer(bodyless, isHttp2(wsi));
+  if (exchange.AnswerUntilClose)
+    setCallerReset(wsi, true);
   if (answer.Length)
     ok = ok && head.length(*answer.Length);
   if (exchange.AnswerChunked)
     ok = ok && head.field("transfer-encoding:", "chunked");
-  bool last = untilClose || Serving == ServingState::Draining;
+  bool last = exchange.OldCaller || Serving == ServingState::Draining;
   if (last && !isHttp2(wsi))
     ok = ok && head.field("connection:", "close");
   if (!ok || !head.send())
@@ -433,23 +443,31 @@
     return -1;
   call.Answer.consume(part.size());
   account(exchange);
-  if (last)
-    return endTransaction(exchange,
-                          !exchange.OldCaller && !call.Head.UntilClose);
+  if (last && !exchange.AnswerUntilClose)
+    return endTransaction(exchange, !exchange.OldCaller);
   expectProgress(callerOf(exchange));
+  if (last) {
+    exchange.Stage = AnswerStage::Written;
+    wantWrite(exchange);
+    return 0;
+  }
   Back.resume(call);
   if (!call.Answer.unread().empty() || exchange.AnswerWhole)
     wantWrite(exchange);
   return 0;
 }
 
+/// Ends an answer that only the end of the connection ends. The library calls
+/// back once the system has taken all bytes.
+int FrontHttp::endWritten(Exchange &exchange) {
+  setCallerReset(callerOf(exchange), false);
+  return endTransaction(exchange, false);
+}
+
 int FrontHttp::breakOff(const Exchange &exchange) {
-  // Where the connection ends the answer, only a reset tells a broken one from
-  // a whole one.
-  bool untilClose = exchange.OldCaller ||
-                    (exchange.Source && exchange.Source->Head.UntilClose);
+  // Only a reset shows for certain that the answer is not whole.
   lws *wsi = callerOf(exchange);
-  if (untilClose && !isHttp2(wsi))
+  if (!isHttp2(wsi))
     resetSocket(lws_get_socket_fd(wsi));
   return -1;
 }
--- a/src/front_http.h
+++ b/src/front_http.h
@@ -69,6 +69,7 @@
   int refuseEarly(lws *wsi, Exchange &exchange, RefusalKind kind);
   int writeHead(Exchange &exchange);
   int writeBody(Exchange &exchange);
+  int endWritten(Exchange &exchange);
   int breakOff(const Exchange &exchange);
   int writeRefusal(Exchange &exchange);
   int endTransaction(Exchange &exchange, bool reuse);
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -67,6 +67,9 @@
   bool Ending = false;
   /// Bytes are read and thrown away until the caller closes.
   bool Lingering = false;
+  /// Until its answer is sent any end of the connection is a reset, also that
+  /// by the end of the process.
+  bool AbortiveClose = false;
   /// `readOn` runs for it.
   bool ReadingOn = false;
   /// The next request waits until earlier answers are sent.
@@ -663,6 +666,8 @@
 void FrontPlain::onDrained(TcpStream &stream) {
   auto &it = *static_cast<Caller *>(stream.Context);
   Gone.clear();
+  if (it.Ending)
+    setAbortiveClose(it, false);
   if (it.Ending && !it.Lingering)
     return drop(it);
   if (it.Lingering) {
@@ -697,8 +702,9 @@
     [[fallthrough]];
   case AnswerStage::Body:
     if (writeBody(*it, exchange))
-      endTransaction(*it, exchange,
-                     !exchange.OldCaller && !exchange.Source->Head.UntilClose);
+      endTransaction(*it, exchange, !exchange.OldCaller);
+    return;
+  case AnswerStage::Written:
     return;
   case AnswerStage::Broken:
     // Only a reset shows for certain that the answer is not whole.
@@ -718,8 +724,9 @@
   bool bodyless = exchange.Method == "HEAD" ||
                   answer.Status == NoContentStatus ||
                   answer.Status == NotModifiedStatus;
-  bool untilClose = exchange.OldCaller || answer.UntilClose;
-  exchange.AnswerChunked = !bodyless && !answer.Length && !untilClose;
+  exchange.frameAnswer(bodyless, false);
+  if (exchange.AnswerUntilClose)
+    setAbortiveClose(it, true);
   std::string out = startLine(answer.Status);
   for (const HeaderField &field : answer.Fields)
     appendField(out, field.Name, field.Value);
@@ -727,13 +734,25 @@
     appendField(out, "content-length:", std::to_string(*answer.Length));
   if (exchange.AnswerChunked)
     appendField(out, "transfer-encoding:", "chunked");
-  if (untilClose || Serving == ServingState::Draining || !it.RequestRead)
+  if (exchange.OldCaller || Serving == ServingState::Draining ||
+      !it.RequestRead)
     appendField(out, "connection:", "close");
   it.Stream->write(out.append(LineEnd));
   exchange.Stage = AnswerStage::Body;
   return true;
 }
 
+/// While only the end of the connection ends an answer, the caller takes an
+/// orderly end for that of the answer.
+void FrontPlain::setAbortiveClose(Caller &it, bool reset) {
+  if (it.AbortiveClose == reset)
+    return;
+  it.AbortiveClose = reset;
+  if (int error = it.Stream->setAbortiveClose(reset))
+    logLine(LogLevel::Warning, "caller-not-reset",
+            {{"error", static_cast<int64_t>(error)}});
+}
+
 /// \returns true once the whole answer was handed over.
 bool FrontPlain::writeBody(Caller &it, Exchange &exchange) {
   BackendCall &call = *exchange.Source;
@@ -810,6 +829,7 @@
     it.Stream->pause();
     return expectProgress(it);
   }
+  setAbortiveClose(it, false);
   if (!it.Lingering)
     return drop(it);
   it.Stream->resume();
--- a/src/front_plain.h
+++ b/src/front_plain.h
@@ -88,6 +88,7 @@
   void writeRefusal(Caller &it, Exchange &exchange);
   void endTransaction(Caller &it, Exchange &exchange, bool reuse);
   void endCaller(Caller &it, bool unread);
+  static void setAbortiveClose(Caller &it, bool reset);
   void drop(Caller &it);
   void abandon(Caller &it);
   void forget(Caller &it);
--- a/src/tcp_stream.cpp
+++ b/src/tcp_stream.cpp
@@ -43,6 +43,14 @@
 
 } // namespace
 
+int setAbortiveClose(uv_os_fd_t socket, bool reset) {
+  linger option{};
+  option.l_onoff = reset ? 1 : 0;
+  return setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option) == 0
+             ? 0
+             : errno;
+}
+
 uint64_t loopMillis(const uv_loop_t &loop) { return uv_now(&loop); }
 
 TcpStream::TcpStream(uv_loop_t &loop, StreamOwner &owner) : Owner(&owner) {
@@ -143,6 +151,12 @@
                 status != UV_ECANCELED;
 }
 
+int TcpStream::setAbortiveClose(bool reset) {
+  uv_os_fd_t fd = -1;
+  int fault = uv_fileno(handleOf(Tcp), &fd);
+  return fault != 0 ? -fault : guavasail::setAbortiveClose(fd, reset);
+}
+
 void TcpStream::boundBuffers(int bytes) {
   // A failure leaves the system's own bound; there may be no socket yet.
   int size = bytes;
--- a/src/tcp_stream.h
+++ b/src/tcp_stream.h
@@ -39,6 +39,11 @@
   ~StreamOwner() = default;
 };
 
+/// Chooses whether closing a socket resets the connection at once, also when
+/// the process ends, or ends it in order after the bytes that are unsent.
+/// \returns 0, or the system's error number.
+int setAbortiveClose(uv_os_fd_t socket, bool reset);
+
 /// Reads the loop's cached clock in milliseconds.
 uint64_t loopMillis(const uv_loop_t &loop);
 
@@ -73,6 +78,10 @@
   /// Closes with a reset, so that the peer takes nothing for complete.
   void reset();
 
+  /// See the function of this name.
+  /// \returns 0, or the system's error number.
+  int setAbortiveClose(bool reset);
+
   /// Bounds what the system holds of the connection, in each direction.
   void boundBuffers(int bytes);
 
--- a/tests/caller_crowd.h
+++ b/tests/caller_crowd.h
@@ -25,6 +25,8 @@
   size_t ReadBytes = 0;
   /// Body of each of the instance's responses, in bytes.
   size_t AnswerBytes = 5;
+  /// Responses have no length: the instance closes after each.
+  bool Unframed = false;
 };
 
 /// Runs a crowd against a daemon. Rounds are bounded, not timed.
--- a/tests/untrusted_caller_test.cpp
+++ b/tests/untrusted_caller_test.cpp
@@ -37,6 +37,9 @@
 constexpr std::string_view Ordinary =
     "GET /r/ordinary HTTP/1.1\r\nhost: h\r\n"
     "authorization: Bearer edge-secret-key\r\n\r\n";
+constexpr std::string_view OldOrdinary =
+    "GET /r/ordinary HTTP/1.0\r\nhost: h\r\n"
+    "authorization: Bearer edge-secret-key\r\n\r\n";
 constexpr std::string_view WithoutKey = "GET /r/x HTTP/1.1\r\nhost: h\r\n\r\n";
 
 /// A crowd that ended or blocked the process, or exhausted its memory.
@@ -69,6 +72,19 @@
      {.Opening = std::string(Ordinary),
       .ReadBytes = 512,
       .AnswerBytes = KeptAnswerBytes}},
+    // Answers that only the end of the instance's connection ends.
+    {"UnframedReadSlowly",
+     {.Callers = 100,
+      .Opening = std::string(Ordinary),
+      .ReadBytes = 512,
+      .AnswerBytes = KeptAnswerBytes,
+      .Unframed = true}},
+    {"OldUnframedReadSlowly",
+     {.Callers = 100,
+      .Opening = std::string(OldOrdinary),
+      .ReadBytes = 512,
+      .AnswerBytes = KeptAnswerBytes,
+      .Unframed = true}},
     // Larger than `answer_buffer_bytes`: slow callers hold all connections to
     // the instance.
     {"LargeReadSlowly",
