--- a/tests/edge_harness.cpp
+++ b/tests/edge_harness.cpp
@@ -178,6 +178,8 @@
   close();
 }
 
+void Wire::endSending() const { ::shutdown(Socket, SHUT_WR); }
+
 Listener::Listener()
     : Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in address = loopback(0);
@@ -331,8 +333,16 @@
     return;
   Seen.push_back(std::exchange(lane.Received, {}));
   lane.send(script.Answer);
-  if (script.Close)
-    lane.close();
+  switch (script.End) {
+  case LaneEnd::Open:
+    return;
+  case LaneEnd::Close:
+    return lane.close();
+  case LaneEnd::HalfClose:
+    return lane.endSending();
+  case LaneEnd::Reset:
+    return lane.reset();
+  }
 }
 
 bool BackendPlayer::play(Wire &caller, std::string_view method,
--- a/tests/edge_harness.h
+++ b/tests/edge_harness.h
@@ -40,6 +40,8 @@
   void close();
   /// Closes with a reset.
   void reset();
+  /// Ends the direction to the peer only.
+  void endSending() const;
   [[nodiscard]] int fd() const { return Socket; }
 
   std::string Received;
@@ -135,11 +137,13 @@
 /// \returns true once \p text holds a whole answer to \p method.
 bool wholeAnswer(std::string_view text, std::string_view method);
 
+/// What the instance does with its connection after an answer.
+enum class LaneEnd : uint8_t { Open, Close, HalfClose, Reset };
+
 /// How the instance answers.
 struct BackendScript {
   std::string_view Answer;
-  /// Ends the connection after the answer.
-  bool Close = false;
+  LaneEnd End = LaneEnd::Open;
 };
 
 /// Plays the instance for several requests and keeps its connections open.
