--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -364,11 +364,10 @@
   for (std::string_view kind : RouteKinds) {
     for (std::string_view body : {"first", "second"}) {
       std::string id = "id-" + std::to_string(++number);
-      std::string request = "POST /" + std::string(kind) +
-                            "/x HTTP/1.1\r\nhost: shop.example\r\n"
-                            "x-request-id: " +
-                            id + "\r\n" + credentials + std::string(row.Field) +
-                            "content-length: 4\r\n\r\nbody";
+      std::string request = "POST /" + std::string(kind) + "/x HTTP/1.1\r\n";
+      request.append("host: shop.example\r\nx-request-id: ").append(id);
+      request.append("\r\n").append(credentials).append(row.Field);
+      request.append("content-length: 4\r\n\r\nbody");
       Wire caller = Wire::dial(deployment.Ports[0]);
       caller.send(request);
       Wire lane = takeRequest(deployment);
