Connection: close is followed and announced

A caller that sent Connection: close found its connection open after an answer with a length (200, 401, 404, 502), until the idle timeout, and no answer announced an end (RFC 9112, 9.6).

Cause: the wish of the request was read by the parser but only health answers looked at it. Over TLS the library closed, without an announcement; health answers there announced none either.

Exchange::LastOnConnection says that the answer is the last one: asked for in any list, or HTTP/1.0. Both front ends take it where they took OldCaller, which now only says how answers are framed.

--- a/src/exchange.h
+++ b/src/exchange.h
@@ -139,8 +139,11 @@
   bool BodyPaused = false;
   /// The caller waits for leave to send the body.
   bool ExpectsContinue = false;
-  /// HTTP/1.0: no chunks, and the connection ends with the answer.
+  /// HTTP/1.0: the answer must not be chunked.
   bool OldCaller = false;
+  /// The connection ends with the answer: the caller asked for that, or speaks
+  /// HTTP/1.0.
+  bool LastOnConnection = false;
   /// The end of the request is in doubt: the connection is not used again.
   bool FramingInDoubt = false;
 
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -259,8 +259,10 @@
   HeadWriter head(wsi);
   bool sent = head.status(status) &&
               head.field("content-type:", "text/plain") &&
-              head.length(text.size()) && head.send() &&
-              sendBody(wsi, text, LWS_WRITE_HTTP_FINAL);
+              head.length(text.size());
+  if (isLastOnConnection(wsi) && !isHttp2(wsi))
+    sent = sent && head.field("connection:", "close");
+  sent = sent && head.send() && sendBody(wsi, text, LWS_WRITE_HTTP_FINAL);
   return !sent || lws_http_transaction_completed(wsi) ? -1 : 0;
 }
 
@@ -416,7 +418,7 @@
     ok = ok && head.length(*answer.Length);
   if (exchange.AnswerChunked)
     ok = ok && head.field("transfer-encoding:", "chunked");
-  bool last = exchange.OldCaller || Serving == ServingState::Draining;
+  bool last = exchange.LastOnConnection || Serving == ServingState::Draining;
   if (last && !isHttp2(wsi))
     ok = ok && head.field("connection:", "close");
   if (!ok || !head.send())
@@ -444,7 +446,7 @@
   call.Answer.consume(part.size());
   account(exchange);
   if (last && !exchange.AnswerUntilClose)
-    return endTransaction(exchange, !exchange.OldCaller);
+    return endTransaction(exchange, !exchange.LastOnConnection);
   expectProgress(callerOf(exchange));
   if (last) {
     exchange.Stage = AnswerStage::Written;
@@ -476,7 +478,7 @@
   uint32_t status = refusalStatus(exchange.Refusal);
   std::string text = problemDocument(exchange.Refusal, requestId(exchange));
   logRefusal(exchange);
-  bool reuse = !exchange.FramingInDoubt && !exchange.OldCaller &&
+  bool reuse = !exchange.FramingInDoubt && !exchange.LastOnConnection &&
                Serving != ServingState::Draining &&
                exchange.receivedBytes() >= exchange.BodyBytes;
   HeadWriter head(callerOf(exchange));
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -702,7 +702,7 @@
     [[fallthrough]];
   case AnswerStage::Body:
     if (writeBody(*it, exchange))
-      endTransaction(*it, exchange, !exchange.OldCaller);
+      endTransaction(*it, exchange, !exchange.LastOnConnection);
     return;
   case AnswerStage::Written:
     return;
@@ -734,7 +734,7 @@
     appendField(out, "content-length:", std::to_string(*answer.Length));
   if (exchange.AnswerChunked)
     appendField(out, "transfer-encoding:", "chunked");
-  if (exchange.OldCaller || Serving == ServingState::Draining ||
+  if (exchange.LastOnConnection || Serving == ServingState::Draining ||
       !it.RequestRead)
     appendField(out, "connection:", "close");
   it.Stream->write(out.append(LineEnd));
@@ -782,7 +782,7 @@
   uint32_t status = refusalStatus(exchange.Refusal);
   std::string text = problemDocument(exchange.Refusal, requestId(exchange));
   logRefusal(exchange);
-  bool reuse = !exchange.FramingInDoubt && !exchange.OldCaller &&
+  bool reuse = !exchange.FramingInDoubt && !exchange.LastOnConnection &&
                Serving != ServingState::Draining && it.RequestRead;
   std::string out = startLine(status);
   if (!exchange.CallerId.empty())
--- a/src/http_request.cpp
+++ b/src/http_request.cpp
@@ -139,9 +139,14 @@
   }
 }
 
+bool isOldCaller(lws *wsi) {
+  return headerLine(wsi, WSI_TOKEN_HTTP).ends_with("1.0");
+}
+
 /// Reads the host, from HTTP/2's own header if it is there.
 bool parseHost(lws *wsi, Exchange &exchange) {
-  exchange.OldCaller = headerLine(wsi, WSI_TOKEN_HTTP).ends_with("1.0");
+  exchange.OldCaller = isOldCaller(wsi);
+  exchange.LastOnConnection = isLastOnConnection(wsi);
   int lines = headerLines(wsi, WSI_TOKEN_HOST);
   exchange.Host = headerLine(wsi, WSI_TOKEN_HTTP_COLON_AUTHORITY);
   if (exchange.Host.empty())
@@ -186,6 +191,18 @@
 
 } // namespace
 
+bool isLastOnConnection(lws *wsi) {
+  bool last = isOldCaller(wsi);
+  int lines = headerLines(wsi, WSI_TOKEN_CONNECTION);
+  for (int n = 0; n < lines; ++n) {
+    std::string line = headerLine(wsi, WSI_TOKEN_CONNECTION, n);
+    std::string_view list = line;
+    while (!list.empty())
+      last |= equalIgnoringCase(takeListItem(list), "close");
+  }
+  return last;
+}
+
 std::optional<RefusalKind> parseRequest(lws *wsi, std::string_view path,
                                         const Limits &bounds,
                                         Exchange &exchange,
--- a/src/http_request.h
+++ b/src/http_request.h
@@ -23,6 +23,10 @@
                                         Exchange &exchange,
                                         RequestArrived &event);
 
+/// \returns true if the caller sends no other request on its connection: it
+/// asked for the end of it, or speaks HTTP/1.0.
+bool isLastOnConnection(lws *wsi);
+
 /// \returns \p text with every byte escaped that is not allowed in a path.
 std::string escapePath(std::string_view text);
 
--- a/src/request_head.cpp
+++ b/src/request_head.cpp
@@ -228,6 +228,7 @@
   const MethodRow *method = findMethod(head.Method);
   exchange.FramingInDoubt = true;
   exchange.OldCaller = head.Version < 11;
+  exchange.LastOnConnection = exchange.OldCaller || !head.KeepAlive;
   exchange.CallerId = head.field(names.RequestId + ":");
   if (!method)
     return RefusalKind::MethodUnsupported;
