--- a/src/exchange.h
+++ b/src/exchange.h
@@ -185,6 +185,9 @@
 
   /// Chooses how the answer's body ends for the caller. HTTP/1.0 knows nothing
   /// but a length and the end of the connection.
+  /// \param bodyless the answer has no body, whatever its head says.
+  /// \param framedByProtocol the caller's protocol marks the end of each body,
+  /// as HTTP/2 does.
   void frameAnswer(bool bodyless, bool framedByProtocol) {
     bool framed = bodyless || framedByProtocol || Source->Head.Length;
     AnswerChunked = !framed && !OldCaller;
--- a/src/request_head.h
+++ b/src/request_head.h
@@ -23,8 +23,10 @@
                                            Exchange &exchange,
                                            RequestArrived &event);
 
+/// \param event the request as it arrived.
+/// \param settings those of this VM.
 /// \returns true if the answer to the request may be kept for repetitions of
-/// it.
+/// it, which the route of the request decides.
 bool mayClaimRecord(const RequestArrived &event, const Settings &settings);
 
 /// \returns what a request's unreadable bytes are refused as.
--- a/src/tcp_stream.h
+++ b/src/tcp_stream.h
@@ -41,6 +41,8 @@
 
 /// Chooses whether closing a socket resets the connection at once, also when
 /// the process ends, or ends it in order after the bytes that are unsent.
+/// \param socket a TCP socket.
+/// \param reset true for a reset.
 /// \returns 0, or the system's error number.
 int setAbortiveClose(uv_os_fd_t socket, bool reset);
 
