--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -147,6 +147,7 @@
   }
 
   [[nodiscard]] int frontend() const { return Place.Frontend; }
+  [[nodiscard]] pid_t processOf(size_t n) const { return Pids[n]; }
 
 private:
   static std::string name(size_t n) { return "frontend-" + std::to_string(n); }
