Marks are dated by the moment at which their bytes were asked for

Cause: a read of 11 pages takes 2.6 s then. ConfigWatch gives up a confirmation after 1 s and sends another one; Store added its ticket to the read that still ran, and the mark was dated by the ticket. Its first page, with the key, had been asked for up to 2.5 s before.

Change: a reply tells when its bytes were asked for, whoever asked and however many joined; marks, outage reports and the restore guard use that. A read that takes over a second asks for the operator's entries again and marks the configuration apart from the instances, and tells that the store answers, so a slow store is no outage.

Why it works: the mark is no later than the question for the bytes that show it, by construction; a mark of the configuration covers only versions since the last whole read, and every such version has that configuration or a later one.

Store calls: one a second more during reads that take over a second, else none.

--- a/bench/bench_config.cpp
+++ b/bench/bench_config.cpp
@@ -310,7 +310,8 @@
   void on(const StoreWatch &) { ++StoreCalls; }
   template <typename Other> void on(const Other &) {}
 
-  void reply(const StoreReplied &reply) {
+  void reply(StoreReplied reply) {
+    reply.AskedAt = Now;
     apply([&] { Part->onReply(reply, context()); });
   }
 
--- a/include/guavasail/store.h
+++ b/include/guavasail/store.h
@@ -169,6 +169,9 @@
   Unavailable,
   /// No reply; a write may have been executed or may still be.
   Lost,
+  /// A slow read goes on. The reply tells what has been read of the operator's
+  /// configuration; another reply follows.
+  Partial,
 };
 
 /// A request to the store completed.
@@ -181,8 +184,12 @@
   /// Revision of the whole store at which the key was read; 0 if unknown.
   uint64_t StoreRevision = 0;
   /// False if the store was restored from an older copy and may lack changes
-  /// that it had accepted: the reply confirms no version.
+  /// that it had accepted: the reply confirms no version. A partial reply
+  /// confirms the configuration of version `Revision`, not its instances.
   bool Confirms = true;
+  /// When the bytes that show this were asked for, or the call that failed was
+  /// sent. It may lie before the request, which joins a read in progress.
+  Instant AskedAt = Instant::min();
 };
 
 } // namespace guavasail
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -17,6 +17,11 @@
   return head;
 }
 
+/// \returns the operator's number of the configuration in \p head; 0 if unknown.
+uint64_t configVersion(const ConfigHead &head) {
+  return head.Recent.empty() ? 0 : head.Recent.back().ConfigVersion;
+}
+
 } // namespace
 
 void ConfigWatch::setActive(bool active) {
@@ -138,8 +143,12 @@
 
 void ConfigWatch::onReply(const StoreReplied &reply, const ConfigStep &step) {
   if (Confirming.matches(reply.Ticket)) {
-    Confirming.close();
-    onConfirmed(reply, step);
+    if (reply.Outcome == StoreOutcome::Partial) {
+      onPartial(reply, step);
+    } else {
+      Confirming.close();
+      onConfirmed(reply, step);
+    }
   } else if (Watching.matches(reply.Ticket)) {
     Watching.close();
     bool failed = reply.Outcome != StoreOutcome::Ok &&
@@ -169,17 +178,17 @@
     SeenVersion = head.Version;
     SeenHead = head;
     Keeper.offerHead(head);
-    return confirmSeen(Confirming.Sent, reply.StoreRevision);
+    return confirmSeen(reply.AskedAt, reply.StoreRevision);
   }
   if (reply.Outcome == StoreOutcome::Missing && Keeper.version() == 0) {
     // Tells the other VMs without a version that they need not read the store
     // themselves. It says nothing about versions that this VM does not know.
     Reached = true;
     ConfirmFailed = false;
-    return Marks.confirm({0, NoRevision, Confirming.Sent});
+    return Marks.confirm({0, NoRevision, reply.AskedAt});
   }
   if (reply.Outcome != StoreOutcome::Conflict)
-    return noteFailure(Confirming.Sent, step);
+    return noteFailure(reply.AskedAt, step);
   Reached = true;
   ConfirmFailed = false;
   HeadAbsent = reply.Revision == 0;
@@ -187,14 +196,33 @@
     NextConfirm = step.Now;
   else if (reply.Revision == SeenRevision) {
     if (reply.Confirms)
-      confirmSeen(Confirming.Sent, reply.StoreRevision);
+      confirmSeen(reply.AskedAt, reply.StoreRevision);
   } else {
     ConflictRevision = reply.Revision;
-    ConflictAt = Confirming.Sent;
+    ConflictAt = reply.AskedAt;
     readHead(step);
   }
 }
 
+/// Keeps the confirmation open while the store answers, and adds a mark for the
+/// version in force if its configuration is still the newest one. The mark
+/// covers the versions since the last whole read: an earlier one may have a
+/// configuration that has been reverted since.
+void ConfigWatch::onPartial(const StoreReplied &reply, const ConfigStep &step) {
+  Reached = true;
+  ConfirmFailed = false;
+  Confirming.Deadline = deadlineAfter(step.Now, Times.ReplyTimeout);
+  bool confirmsSeen = reply.Confirms && reply.Revision == SeenRevision;
+  if (!confirmsSeen)
+    return;
+  uint64_t inForce = Keeper.version();
+  uint64_t seenConfig = configVersion(SeenHead);
+  bool same = inForce == SeenVersion ||
+              (seenConfig > 0 && seenConfig == configVersion(Keeper.head()));
+  if (same && inForce > 0)
+    Marks.confirm({inForce, reply.StoreRevision, reply.AskedAt});
+}
+
 /// Adds a mark for the head seen last.
 /// \param at when it was the newest one.
 /// \param storeRevision the store's revision then.
--- a/src/config_watch.h
+++ b/src/config_watch.h
@@ -79,6 +79,7 @@
   void readChunks(const ConfigStep &step);
   void expire(const ConfigStep &step);
   void onConfirmed(const StoreReplied &reply, const ConfigStep &step);
+  void onPartial(const StoreReplied &reply, const ConfigStep &step);
   void confirmSeen(Instant at, uint64_t storeRevision);
   void matchContent(uint64_t storeRevision);
   void onHead(const StoreReplied &reply, const ConfigStep &step);
@@ -93,7 +94,7 @@
   bool Reached = false;
   bool ConfirmFailed = false;
   /// Revision that a confirmation returned and whose head is being read, and
-  /// when the confirmation was sent.
+  /// when it was the newest one.
   uint64_t ConflictRevision = 0;
   Instant ConflictAt{};
   uint32_t LastNumber = 0;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include "boot_clock.h"
 #include "front_http.h"
 #include "front_plain.h"
 #include "http_refusal.h"
@@ -24,15 +25,6 @@
 /// Three renewals may be lost before the lease expires.
 constexpr int RenewalsPerLease = 4;
 
-/// \returns the time of the clock that also runs while the VM is paused.
-Instant bootTime() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  auto sinceBoot =
-      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
-  return Instant(std::chrono::duration_cast<Duration>(sinceBoot));
-}
-
 uint64_t randomSeed() {
   uint64_t seed = 0;
   randombytes_buf(&seed, sizeof(seed));
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -1,6 +1,7 @@
 #include "config_fleet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavasail {
 
@@ -9,6 +10,10 @@
 constexpr Duration MemberPeriod = std::chrono::milliseconds(250);
 constexpr Duration SuspectAfter = std::chrono::seconds(2);
 constexpr Duration WithdrawalBound = std::chrono::seconds(5);
+/// Between two checks of the configuration during a read, and the part of the
+/// read's time that a check takes.
+constexpr Duration CheckInterval = std::chrono::milliseconds(900);
+constexpr int64_t CheckShare = 11;
 
 std::string digestText(const Digest &digest) {
   std::string text;
@@ -159,6 +164,10 @@
     Queue.push(delayed);
     return;
   }
+  if (delivery.ConfigCheck)
+    return checkConfig(delivery.Vm);
+  if (delivery.FromStore)
+    endRead(node);
   Effects.clear();
   if (delivery.FromStore) {
     StoreReplied reply = delivery.Reply;
@@ -227,6 +236,8 @@
   delivery.Incarnation = Nodes[vm].Incarnation;
   delivery.FromStore = true;
   delivery.Reply = reply;
+  if (reply.AskedAt == Instant::min())
+    delivery.Reply.AskedAt = Now;
   if (reply.Value)
     delivery.Value = std::make_shared<StoreValue>(*reply.Value);
   Queue.push(std::move(delivery));
@@ -242,20 +253,82 @@
 }
 
 /// Reads the catalog as a VM does for which a version names a content.
-StoreReplied ConfigFleet::readCatalog(Node &node, const StoreWrite &request) {
+void ConfigFleet::readCatalog(uint32_t vm, const StoreWrite &request) {
+  Node &node = Nodes[vm];
+  endRead(node);
   FakeStore::Entry newest = Store.head();
-  if (Store.Faults.HoldsNothing || !newest.Value)
-    return {request.Ticket, StoreOutcome::Missing, 0, nullptr};
-  node.ReadRevision = Store.revision();
+  bool holdsNothing = Store.Faults.HoldsNothing || !newest.Value;
+  if (holdsNothing)
+    return reply(vm, {request.Ticket, StoreOutcome::Missing, 0, nullptr},
+                 Store.Faults.Delay);
+  SlowRead &reading = node.Reading;
+  reading.Tickets.push_back(request.Ticket);
+  if (reading.Tickets.size() > 1)
+    return;
   const auto &head = std::get<ConfigHead>(*newest.Value);
+  reading.BeganAt = Now;
+  reading.EndsAt = Now + Store.Faults.Delay;
+  reading.Revision = Store.revision();
+  reading.HeadRevision = newest.Revision;
+  reading.Head = node.Read;
   if (head.Chunks != node.Read.Chunks) {
     RecentChange change;
-    change.Id = "store-" + std::to_string(node.ReadRevision);
-    change.Version = node.ReadRevision;
-    node.Read = {node.ReadRevision, head.Chunks, {change}};
+    change.Id = "store-" + std::to_string(reading.Revision);
+    change.Version = reading.Revision;
+    change.ConfigVersion = head.Version;
+    reading.Head = {reading.Revision, head.Chunks, {change}};
   }
-  return {request.Ticket, StoreOutcome::Conflict, node.Read.Version, nullptr,
-          node.ReadRevision};
+  planCheck(vm);
+  // Wakes this VM at the end, with a reply to nobody.
+  StoreReplied end;
+  end.Ticket = {StoreUser::Audit, 0};
+  end.AskedAt = Now;
+  reply(vm, end, Store.Faults.Delay);
+}
+
+/// Replies to all that joined a read once it is through.
+void ConfigFleet::endRead(Node &node) {
+  SlowRead &reading = node.Reading;
+  if (reading.Tickets.empty() || Now < reading.EndsAt)
+    return;
+  node.Read = reading.Head;
+  node.ReadRevision = reading.Revision;
+  reading.KnownRevision = reading.HeadRevision;
+  auto vm = static_cast<uint32_t>(&node - Nodes.data());
+  for (StoreTicket it : std::exchange(reading.Tickets, {})) {
+    StoreReplied replied{it, StoreOutcome::Conflict, node.Read.Version, nullptr,
+                         node.ReadRevision};
+    replied.AskedAt = reading.BeganAt;
+    reply(vm, replied, Duration::zero());
+  }
+}
+
+void ConfigFleet::planCheck(uint32_t vm) {
+  if (Now + CheckInterval >= Nodes[vm].Reading.EndsAt)
+    return;
+  Delivery check;
+  check.At = Now + CheckInterval;
+  check.Order = ++LastOrder;
+  check.Vm = vm;
+  check.Incarnation = Nodes[vm].Incarnation;
+  check.ConfigCheck = true;
+  Queue.push(std::move(check));
+}
+
+/// Confirms the configuration read before while a read goes on.
+void ConfigFleet::checkConfig(uint32_t vm) {
+  Node &node = Nodes[vm];
+  if (Now >= node.Reading.EndsAt || !storeReached(vm))
+    return;
+  bool known = Store.head().Revision == node.Reading.KnownRevision;
+  for (StoreTicket it : node.Reading.Tickets) {
+    StoreReplied replied{it, StoreOutcome::Partial, node.Read.Version, nullptr,
+                         node.ReadRevision};
+    replied.Confirms = known;
+    replied.AskedAt = Now;
+    reply(vm, replied, Store.Faults.Delay / CheckShare);
+  }
+  planCheck(vm);
 }
 
 StoreReplied ConfigFleet::readHead(const Node &node, const StoreRead &request) {
@@ -271,7 +344,7 @@
   if (!storeReached(vm))
     return;
   if (Init.VersionsNameContent)
-    return reply(vm, readCatalog(Nodes[vm], effect), Store.Faults.Delay);
+    return readCatalog(vm, effect);
   StoreReplied result = Store.write(effect);
   bool wrote = result.Outcome == StoreOutcome::Ok;
   if (wrote)
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -143,6 +143,19 @@
   uint64_t Messages = 0;
 
 private:
+  /// A read of the catalog that takes the store's delay. It shows the content
+  /// of the moment at which it began. Requests meanwhile join it.
+  struct SlowRead {
+    std::vector<StoreTicket> Tickets;
+    Instant BeganAt;
+    Instant EndsAt = Instant::min();
+    /// What is read; empty if there is nothing.
+    ConfigHead Head;
+    uint64_t Revision = 0;
+    /// Revision of the head that is read, and of the one read last.
+    uint64_t HeadRevision = 0;
+    uint64_t KnownRevision = 0;
+  };
   struct Node {
     std::unique_ptr<ConfigPart> Part;
     CatalogIndex Index;
@@ -156,6 +169,7 @@
     /// The catalog that this VM read last, and the revision of that read.
     ConfigHead Read;
     uint64_t ReadRevision = 0;
+    SlowRead Reading;
   };
   struct Delivery {
     Instant At;
@@ -164,6 +178,8 @@
     uint32_t Incarnation = 0;
     uint32_t From = 0;
     bool FromStore = false;
+    /// The VM asks for the configuration while a read goes on.
+    bool ConfigCheck = false;
     PeerBody Body;
     StoreReplied Reply;
     std::shared_ptr<StoreValue> Value;
@@ -192,7 +208,10 @@
   void on(uint32_t vm, const StoreWrite &effect);
   void on(uint32_t vm, const StoreWatch &effect);
   void on(uint32_t vm, const ChangeConcluded &effect);
-  StoreReplied readCatalog(Node &node, const StoreWrite &request);
+  void readCatalog(uint32_t vm, const StoreWrite &request);
+  void endRead(Node &node);
+  void checkConfig(uint32_t vm);
+  void planCheck(uint32_t vm);
   StoreReplied readHead(const Node &node, const StoreRead &request);
   template <typename Other> void on(uint32_t, const Other &) {}
   void reply(uint32_t vm, const StoreReplied &reply, Duration delay);
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -474,6 +474,47 @@
       fleet.cutStore(vm, true);
 }
 
+/// Time of a whole read of a store that is slow.
+struct SlowReadCase {
+  std::string_view Name;
+  Duration ReadTime;
+};
+
+const SlowReadCase SlowReads[] = {
+    {"ElevenPagesOf240Ms", milliseconds(2640)},
+    {"ElevenPagesOf364Ms", milliseconds(4004)},
+};
+
+std::ostream &operator<<(std::ostream &out, const SlowReadCase &row) {
+  return out << row.Name;
+}
+
+class SlowPages : public testing::TestWithParam<SlowReadCase> {};
+
+/// Guards against requests that are refused while the store is merely slow,
+/// since a read takes almost as long as its mark counts.
+TEST_P(SlowPages, KeepAdmitting) {
+  FleetInit init = readerInit();
+  init.VersionsNameContent = true;
+  init.Part.Bounds.AdmitDuringOutage = false;
+  ConfigFleet fleet(init);
+  fleet.writeCatalog(largeCatalog(20, 0));
+  fleet.run(seconds(6));
+  fleet.Store.Faults.Delay = GetParam().ReadTime;
+  uint32_t refusing = 0;
+  for (Instant end = fleet.now() + seconds(30); fleet.now() < end;) {
+    fleet.run(milliseconds(50));
+    for (uint32_t vm = 0; vm < fleet.vms(); ++vm)
+      refusing += fleet.admits(vm) ? 0 : 1;
+  }
+  EXPECT_EQ(refusing, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SlowPages, testing::ValuesIn(SlowReads),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 class ReaderFleet : public testing::TestWithParam<ReaderCase> {};
 
 TEST_P(ReaderFleet, FollowsTheStore) {
--- a/tests/config_reader_fuzz_test.cpp
+++ b/tests/config_reader_fuzz_test.cpp
@@ -153,7 +153,7 @@
     Fleet.pause(step.Vm, false);
   }
   void slowStore(const ReaderStep &step) {
-    Fleet.Store.Faults.Delay = milliseconds(step.Millis / 4);
+    Fleet.Store.Faults.Delay = milliseconds(step.Millis);
   }
   void heal(const ReaderStep &) { Fleet.heal(); }
 
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -1,10 +1,13 @@
 /// \file
 /// Reads of the platform's store that take several pages, which the test
 /// answers.
+#include "boot_clock.h"
+#include "config_part.h"
 #include "edge_harness.h"
 #include "kv_format.h"
 #include "store.h"
 
+#include <deque>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -82,6 +85,7 @@
     if (!reply)
       return;
     Reply = *reply;
+    All.push_back(*reply);
     const auto *chunk =
         reply->Value ? std::get_if<CatalogChunk>(reply->Value) : nullptr;
     if (chunk && !chunk->Services.empty())
@@ -92,6 +96,8 @@
   }
 
   std::optional<StoreReplied> Reply;
+  /// All replies that a test has not taken.
+  std::deque<StoreReplied> All;
   /// The newest head and the newest chunk with services.
   ConfigHead Head;
   std::vector<ServiceSpec> Services;
@@ -161,6 +167,126 @@
                            return std::string(it.param.Name);
                          });
 
+/// Requests that join a read in progress.
+struct JoinedReadCase {
+  std::string_view Name;
+  uint32_t Pages;
+  /// Page after which further requests come, and their number.
+  uint32_t JoinAfter;
+  uint32_t Joining;
+};
+
+const JoinedReadCase JoinedReads[] = {
+    {"NoneJoins", 1, 0, 0},
+    {"OneJoins", 2, 1, 1},
+    {"OneJoinsBeforeTheLastPage", 4, 3, 1},
+    {"ThreeJoin", 4, 1, 3},
+};
+
+std::ostream &operator<<(std::ostream &out, const JoinedReadCase &row) {
+  return out << row.Name;
+}
+
+/// A reader of the configuration for which the test lets time pass.
+class JoinedRead : public StoreLoop,
+                   public testing::TestWithParam<JoinedReadCase> {
+protected:
+  JoinedRead() {
+    ConfigInit init;
+    init.UsesStore = true;
+    useReaderTimes(init);
+    Part = std::make_unique<ConfigPart>(init);
+    VmEntry &self = Members.emplace_back();
+    self.Name = "vm";
+    Zone = self.Zone = Index.zone("z");
+    Settings.Address = "127.0.0.1";
+    Settings.Port = Server.port();
+    Store.emplace(Loop, Settings, VmSpec{}, Sink);
+  }
+
+  void TearDown() override { Store->close(); }
+
+  /// Sends what is due at a time \p ahead of the clock.
+  void tick(Duration ahead) {
+    Ahead = ahead;
+    Part->onTick(context());
+    execute();
+  }
+
+  /// Turns the loop until a reply came, and hands over all that follow it.
+  void takeReplies() {
+    turnUntilReplied();
+    while (!Sink.All.empty()) {
+      StoreReplied reply = Sink.All.front();
+      Sink.All.pop_front();
+      Part->onReply(reply, context());
+      execute();
+    }
+  }
+
+  std::unique_ptr<ConfigPart> Part;
+
+private:
+  ConfigContext context() {
+    return {bootTime() + Ahead, Effects, {Members, {0}}, Zone, Index};
+  }
+
+  void execute() {
+    std::vector<Effect> effects(Effects.items().begin(), Effects.items().end());
+    Effects.clear();
+    for (const Effect &effect : effects)
+      std::visit(
+          [&](const auto &it) {
+            if constexpr (requires { Store->start(it); })
+              Store->start(it);
+          },
+          effect);
+  }
+
+  StoreSettings Settings;
+  std::optional<platform::Store> Store;
+  std::vector<VmEntry> Members;
+  CatalogIndex Index;
+  ZoneHandle Zone;
+  EffectBuffer Effects;
+  Duration Ahead{};
+};
+
+/// Guards against a mark that is dated by a request which joined a read begun
+/// before it: a key withdrawn between the two was admitted for too long.
+TEST_P(JoinedRead, IsMarkedNoLaterThanItsFirstPage) {
+  const JoinedReadCase &row = GetParam();
+  constexpr Duration Timeout = std::chrono::milliseconds(1000);
+  constexpr Duration Retry = std::chrono::milliseconds(300);
+  // A VM that knows no other one waits for them before it reads.
+  tick(-std::chrono::seconds(2));
+  tick({});
+  turnUntilReadable(Server.fd());
+  Wire calls = Server.accept();
+  Instant firstPageAt;
+  for (uint32_t n = 1; n <= row.Pages; ++n) {
+    turnUntilReadable(calls.fd());
+    ASSERT_TRUE(calls.receive());
+    if (n == 1)
+      firstPageAt = bootTime();
+    std::string key = n == 1 ? "op/config" : "servers/i-" + std::to_string(n);
+    calls.send(pageText({7, {key}}, n < row.Pages));
+    for (uint32_t k = 1; n == row.JoinAfter && k <= row.Joining; ++k) {
+      tick(k * (Timeout + Retry) - Retry);
+      tick(k * (Timeout + Retry));
+    }
+  }
+  takeReplies();
+  ASSERT_GT(Part->keeper().version(), 0U);
+  EXPECT_NE(Part->marks().markedAt(), Instant::min());
+  EXPECT_LE(Part->marks().markedAt(), firstPageAt);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, JoinedRead, testing::ValuesIn(JoinedReads),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 /// Keys of successive reads, and whether the instance in zone z is evacuated.
 struct EvacuationReadCase {
   std::string_view Name;
