Nothing at the callers' address belongs to the daemon

Cause: both front ends answered targets that begin with /-/ before a route was looked up.

Change: readiness, health and metrics are served by OperatorDoors at ready_listen and metrics_listen, for daemons with TLS too, which had neither; the front ends know callers only. What no route takes is refused as any other path.

Why it works: no code of a front end looks at a path any more.

Over HTTP/2 it follows from the shared code; no test of its own.

--- a/include/guavasail/settings.h
+++ b/include/guavasail/settings.h
@@ -67,8 +67,8 @@
   uint32_t ListenPort = 8080;
   /// Address and port as "IP:PORT"; overrides both.
   std::string Listen;
-  /// Address of the readiness check for the load balancer; without a port only
-  /// the callers' address serves it.
+  /// Address that serves readiness and health to the load balancer; nobody
+  /// answers these without a port. The callers' address never does.
   std::string ReadyAddress;
   uint32_t ReadyPort = 0;
   std::string ReadyListen;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -144,6 +144,8 @@
     Back->close();
   if (Front)
     Front->close();
+  if (Doors)
+    Doors->close();
   uv_handle_t *own[] = {reinterpret_cast<uv_handle_t *>(&Timer),
                         reinterpret_cast<uv_handle_t *>(&Prepare),
                         reinterpret_cast<uv_handle_t *>(&Check),
@@ -219,8 +221,7 @@
                                     Exchanges, Budget, *this);
   if (Config.Daemon.TlsCertificate.empty()) {
     Front = std::make_unique<FrontPlain>(Loop, Config, Exchanges, *Back, Budget,
-                                         static_cast<EventSink &>(*this),
-                                         [this] { return metricsText(); });
+                                         static_cast<EventSink &>(*this));
   } else {
     if (!startLibrary())
       return StartFault::LoopFailed;
@@ -229,7 +230,10 @@
                                     static_cast<EventSink &>(*this));
   }
   Back->listen(*Front);
-  return Front->open() ? StartFault::None : StartFault::ListenFailed;
+  Doors = std::make_unique<OperatorDoors>(Loop, Config,
+                                          [this] { return metricsText(); });
+  return Front->open() && Doors->open() ? StartFault::None
+                                        : StartFault::ListenFailed;
 }
 
 StartFault Daemon::startPeers() {
@@ -296,13 +300,17 @@
     return;
   const ReducerState &state = Decisions.state();
   if (state.Draining)
-    return Front->setServing(ServingState::Draining);
+    return setServing(ServingState::Draining);
   if (!state.Ready)
-    return Front->setServing(ServingState::Starting,
-                             notReadyReasonName(state.Config.notReadyReason()));
+    return setServing(ServingState::Starting,
+                      notReadyReasonName(state.Config.notReadyReason()));
   bool confirmed = admits(state.Config.freshState(bootTime()));
-  Front->setServing(confirmed ? ServingState::Ready
-                              : ServingState::Unconfirmed);
+  setServing(confirmed ? ServingState::Ready : ServingState::Unconfirmed);
+}
+
+void Daemon::setServing(ServingState state, std::string_view reason) {
+  Front->setServing(state);
+  Doors->setServing(state, reason);
 }
 
 void Daemon::armTimer() {
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -10,6 +10,7 @@
 #include "front_end.h"
 #include "guavasail/reducer.h"
 #include "guavasail/settings.h"
+#include "operator_door.h"
 #include "peer_transport_uv.h"
 #include "store.h"
 
@@ -55,6 +56,7 @@
   void drainEvents();
   void execute(const Effect &effect);
   void updateServing();
+  void setServing(ServingState state, std::string_view reason = {});
   void armTimer();
   void stopLoop();
   StartFault startPeers();
@@ -113,6 +115,7 @@
   std::unique_ptr<BackHttp> Back;
   std::unique_ptr<platform::Store> Store;
   std::unique_ptr<FrontEnd> Front;
+  std::unique_ptr<OperatorDoors> Doors;
   std::unique_ptr<PeerTransport> Peers;
   Instant Armed = NeverInstant;
   /// The decisions have nothing in progress and take no new request.
--- a/src/front_end.h
+++ b/src/front_end.h
@@ -65,12 +65,8 @@
   /// \returns false if an address cannot be used.
   virtual bool open() = 0;
 
-  /// Sets what the health endpoints say.
-  /// \param reason why the VM is not ready, empty if it is.
-  void setServing(ServingState state, std::string_view reason = {}) {
-    Serving = state;
-    ServingReason = reason;
-  }
+  /// Sets whether connections end with their answers.
+  void setServing(ServingState state) { Serving = state; }
 
   /// \returns counters for the metrics.
   [[nodiscard]] const CallerStats &callerStats() const { return Stats; }
@@ -89,7 +85,6 @@
 
 protected:
   ServingState Serving = ServingState::Starting;
-  std::string_view ServingReason;
   CallerStats Stats;
 };
 
--- a/src/front_http.cpp
+++ b/src/front_http.cpp
@@ -22,7 +22,6 @@
 /// Room for the size line and the line end of an HTTP/1.1 chunk.
 constexpr size_t ChunkFrameBytes = 16;
 constexpr size_t BodyBufferBytes = 128 * 1024;
-constexpr std::string_view HealthPrefix = "/-/";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 const lws_protocols FrontProtocols[] = {
@@ -214,8 +213,6 @@
 }
 
 int FrontHttp::onRequest(lws *wsi, std::string_view path) {
-  if (path.starts_with(HealthPrefix))
-    return answerHealth(wsi, path);
   Exchange &exchange = Exchanges.open();
   exchange.Caller = wsi;
   lws_set_opaque_user_data(wsi, packHandle(exchange.Handle));
@@ -251,21 +248,6 @@
   return 0;
 }
 
-int FrontHttp::answerHealth(lws *wsi, std::string_view path) {
-  uint32_t status = healthStatus(path, Serving);
-  std::string text(servingStateName(Serving));
-  if (!ServingReason.empty())
-    text.append(": ").append(ServingReason);
-  HeadWriter head(wsi);
-  bool sent = head.status(status) &&
-              head.field("content-type:", "text/plain") &&
-              head.length(text.size());
-  if (isLastOnConnection(wsi) && !isHttp2(wsi))
-    sent = sent && head.field("connection:", "close");
-  sent = sent && head.send() && sendBody(wsi, text, LWS_WRITE_HTTP_FINAL);
-  return !sent || lws_http_transaction_completed(wsi) ? -1 : 0;
-}
-
 int FrontHttp::onBody(lws *wsi, std::string_view bytes) {
   Exchange *exchange = exchangeOf(wsi);
   if (!exchange || exchange->Stage == AnswerStage::Refusal)
--- a/src/front_http.h
+++ b/src/front_http.h
@@ -65,7 +65,6 @@
   /// Closes the connection unless bytes move within the idle time.
   void expectProgress(lws *wsi) const;
   void postArrival(const Exchange &exchange, RequestArrived event);
-  int answerHealth(lws *wsi, std::string_view path);
   int refuseEarly(lws *wsi, Exchange &exchange, RefusalKind kind);
   int writeHead(Exchange &exchange);
   int writeBody(Exchange &exchange);
--- a/src/front_plain.cpp
+++ b/src/front_plain.cpp
@@ -26,9 +26,6 @@
 constexpr int RequestsInTurn = 16;
 /// Memory that a connection without a request keeps.
 constexpr size_t IdleBufferBytes = 16 * 1024;
-/// Connections of the balancer and of the metrics' reader beyond the bound for
-/// callers.
-constexpr size_t OperatorConnections = 32;
 /// Interval in which buffers of the system and stalled callers are looked at.
 constexpr uint64_t SweepMs = 250;
 /// Bytes of an answer that wait for the caller before more is handed over.
@@ -36,16 +33,11 @@
 /// Time for which a caller's unread bytes are read away, so that closing does
 /// not reset the connection under the answer.
 constexpr uint64_t LingerMs = 1000;
-constexpr std::string_view HealthPrefix = "/-/";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view LineEnd = "\r\n";
-constexpr std::string_view PlainText = "text/plain";
 constexpr std::string_view ProblemType = "application/problem+json";
-constexpr uint32_t OkStatus = 200;
 constexpr uint32_t NoContentStatus = 204;
 constexpr uint32_t NotModifiedStatus = 304;
-constexpr uint32_t NotFoundStatus = 404;
-constexpr uint32_t UnavailableStatus = 503;
 
 std::string startLine(uint32_t status) {
   return "HTTP/1.1 " + std::to_string(status) + " " +
@@ -57,7 +49,6 @@
 /// One caller's connection.
 struct FrontPlain::Caller {
   TcpStream *Stream = nullptr;
-  Door Use = Door::Callers;
   RequestHandle Current;
   /// A request is in progress.
   bool Active = false;
@@ -95,76 +86,53 @@
 
 FrontPlain::FrontPlain(uv_loop_t &loop, const Settings &settings,
                        ExchangeTable &exchanges, BackHttp &back,
-                       BufferBudget &budget, EventSink &sink,
-                       std::function<std::string()> metrics)
+                       BufferBudget &budget, EventSink &sink)
     : Loop(loop), Config(settings), Exchanges(exchanges), Back(back),
-      Budget(budget), Sink(sink), Metrics(std::move(metrics)) {}
+      Budget(budget), Sink(sink) {}
 
 FrontPlain::~FrontPlain() = default;
 
 bool FrontPlain::open() {
-  const DaemonSettings &daemon = Config.Daemon;
-  Doors[0].Use = Door::Callers;
-  Doors[1].Use = Door::Ready;
-  Doors[2].Use = Door::Metrics;
   uv_timer_init(&Loop, &Sweep);
   uv_timer_init(&Loop, &Turn);
   Sweep.data = Turn.data = this;
   TimersOpen = true;
   if (Budget.bounded())
     uv_timer_start(&Sweep, &FrontPlain::onSweep, SweepMs, SweepMs);
-  return openDoor(Doors[0], daemon.ListenAddress, daemon.ListenPort) &&
-         openDoor(Doors[1], daemon.ReadyAddress, daemon.ReadyPort) &&
-         openDoor(Doors[2], daemon.MetricsAddress, daemon.MetricsPort);
-}
-
-bool FrontPlain::openDoor(DoorRow &door, const std::string &address,
-                          uint32_t port) {
-  if (port == 0)
+  const DaemonSettings &daemon = Config.Daemon;
+  if (daemon.ListenPort == 0)
     return true;
-  sockaddr_storage place{};
-  auto number = static_cast<int>(port);
-  if (uv_ip4_addr(address.c_str(), number,
-                  reinterpret_cast<sockaddr_in *>(&place)) != 0 &&
-      uv_ip6_addr(address.c_str(), number,
-                  reinterpret_cast<sockaddr_in6 *>(&place)) != 0)
-    return false;
-  uv_tcp_init(&Loop, &door.Handle);
-  door.Owner = this;
-  door.Handle.data = &door;
-  door.Open = true;
-  auto *stream = reinterpret_cast<uv_stream_t *>(&door.Handle);
-  if (uv_tcp_bind(&door.Handle, reinterpret_cast<const sockaddr *>(&place),
-                  0) != 0)
+  Listener.data = this;
+  Listening = true;
+  if (!bindListener(Loop, Listener, daemon.ListenAddress, daemon.ListenPort))
     return false;
   // Accepted connections have the listening socket's bounds.
   int sending = SocketBufferBytes;
   int receiving = SocketBufferBytes;
-  auto *handle = reinterpret_cast<uv_handle_t *>(&door.Handle);
+  auto *handle = reinterpret_cast<uv_handle_t *>(&Listener);
   if (Budget.bounded() && (uv_send_buffer_size(handle, &sending) != 0 ||
                            uv_recv_buffer_size(handle, &receiving) != 0))
     logLine(LogLevel::Warning, "socket-buffers-unbounded",
-            {{"port", static_cast<int64_t>(port)}});
-  return uv_listen(stream, ListenBacklog, &FrontPlain::onConnection) == 0;
+            {{"port", static_cast<int64_t>(daemon.ListenPort)}});
+  return uv_listen(reinterpret_cast<uv_stream_t *>(&Listener), ListenBacklog,
+                   &FrontPlain::onConnection) == 0;
 }
 
 void FrontPlain::onConnection(uv_stream_t *server, int status) {
-  auto &door = *static_cast<DoorRow *>(server->data);
   if (status == 0)
-    door.Owner->welcome(door);
+    static_cast<FrontPlain *>(server->data)->welcome();
 }
 
-void FrontPlain::welcome(DoorRow &door) {
-  auto *server = reinterpret_cast<uv_stream_t *>(&door.Handle);
+void FrontPlain::welcome() {
+  auto *server = reinterpret_cast<uv_stream_t *>(&Listener);
   TcpStream *stream =
       TcpStream::accept(*server, static_cast<StreamOwner &>(*this));
   if (!stream)
     return;
-  if (!makeRoom(door))
+  if (!makeRoom())
     return stream->close();
   Caller &it = *Callers.emplace_back(std::make_unique<Caller>());
   it.Stream = stream;
-  it.Use = door.Use;
   it.Buffers.ProgressMs = loopMillis(Loop);
   stream->Context = &it;
   Stats.Connections = Callers.size();
@@ -172,12 +140,9 @@
   expectProgress(it);
 }
 
-bool FrontPlain::makeRoom(const DoorRow &door) {
+bool FrontPlain::makeRoom() {
   Gone.clear();
-  size_t most = maxCallers(Config.Bounds);
-  if (door.Use != Door::Callers)
-    most += OperatorConnections;
-  if (Callers.size() < most)
+  if (Callers.size() < maxCallers(Config.Bounds))
     return true;
   // A request head that is not whole has waited longest for its caller.
   Caller *oldest = nullptr;
@@ -196,11 +161,8 @@
 }
 
 void FrontPlain::close() {
-  for (DoorRow &door : Doors)
-    if (door.Open) {
-      door.Open = false;
-      uv_close(reinterpret_cast<uv_handle_t *>(&door.Handle), nullptr);
-    }
+  if (std::exchange(Listening, false))
+    uv_close(reinterpret_cast<uv_handle_t *>(&Listener), nullptr);
   if (TimersOpen) {
     uv_close(reinterpret_cast<uv_handle_t *>(&Sweep), nullptr);
     uv_close(reinterpret_cast<uv_handle_t *>(&Turn), nullptr);
@@ -346,11 +308,7 @@
 }
 
 void FrontPlain::takeHead(Caller &it) {
-  MessageHead &head = it.Reader->head();
   it.Active = true;
-  bool local = it.Use != Door::Callers || head.Target.starts_with(HealthPrefix);
-  if (local)
-    return answerLocal(it, head);
   Exchange &exchange = Exchanges.open();
   exchange.Caller = &it;
   it.Current = exchange.Handle;
@@ -448,38 +406,6 @@
   refuseEarly(exchange, refusalOf(fault));
 }
 
-/// Answers requests to the VM itself: its health, readiness and metrics.
-void FrontPlain::answerLocal(Caller &it, const MessageHead &head) {
-  std::string_view path = head.Target;
-  path = path.substr(0, path.find('?'));
-  uint32_t status = NotFoundStatus;
-  std::string text(servingStateName(Serving));
-  if (it.Use == Door::Metrics) {
-    status = OkStatus;
-    text = Metrics();
-  } else if (it.Use == Door::Ready) {
-    bool good = Serving == ServingState::Ready;
-    if (path == Config.Daemon.ReadyPath)
-      status = good ? OkStatus : UnavailableStatus;
-  } else {
-    status = healthStatus(path, Serving);
-  }
-  if (!ServingReason.empty() && it.Use != Door::Metrics)
-    text.append(": ").append(ServingReason);
-  std::string out = startLine(status);
-  appendField(out, "content-type:", PlainText);
-  appendField(out, "content-length:", std::to_string(text.size()));
-  bool reuse = head.KeepAlive && it.RequestRead;
-  if (!reuse)
-    appendField(out, "connection:", "close");
-  it.Stream->write(out.append(LineEnd).append(text));
-  if (!reuse)
-    return endCaller(it, !it.RequestRead);
-  beginRequest(it);
-  expectProgress(it);
-  readOn(it);
-}
-
 void FrontPlain::onEnd(TcpStream &stream, StreamEnd) {
   Gone.clear();
   auto &it = *static_cast<Caller *>(stream.Context);
--- a/src/front_plain.h
+++ b/src/front_plain.h
@@ -12,8 +12,6 @@
 #include "http_reader.h"
 #include "tcp_stream.h"
 
-#include <array>
-#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,10 +23,9 @@
 /// Reads callers' requests and writes their answers.
 class FrontPlain : public FrontEnd, private StreamOwner {
 public:
-  /// \param metrics returns the text of the metrics address.
   FrontPlain(uv_loop_t &loop, const Settings &settings,
              ExchangeTable &exchanges, BackHttp &back, BufferBudget &budget,
-             EventSink &sink, std::function<std::string()> metrics);
+             EventSink &sink);
   ~FrontPlain() override;
 
   bool open() override;
@@ -46,15 +43,7 @@
   void close() override;
 
 private:
-  /// What a listening socket is for.
-  enum class Door : uint8_t { Callers, Ready, Metrics };
   struct Caller;
-  struct DoorRow {
-    Door Use;
-    FrontPlain *Owner = nullptr;
-    uv_tcp_t Handle{};
-    bool Open = false;
-  };
 
   void onOpen(TcpStream &stream) override;
   void onBytes(TcpStream &stream, std::string_view bytes) override;
@@ -62,12 +51,10 @@
   void onEnd(TcpStream &stream, StreamEnd end) override;
 
   static void onConnection(uv_stream_t *server, int status);
-  /// Opens a listening socket; none without a port.
-  bool openDoor(DoorRow &door, const std::string &address, uint32_t port);
-  void welcome(DoorRow &door);
+  void welcome();
 
   /// \returns true if there is a place for another connection.
-  bool makeRoom(const DoorRow &door);
+  bool makeRoom();
   void readOn(Caller &it);
   bool readStep(Caller &it);
   void resumeReading(Caller &it);
@@ -80,7 +67,6 @@
   void takeBody(Caller &it, Exchange &exchange);
   void postArrival(Exchange &exchange, const RequestArrived &event);
   void refuseUnread(Caller &it, ReadFault fault);
-  void answerLocal(Caller &it, const MessageHead &head);
   void refuseEarly(Exchange &exchange, RefusalKind kind);
   void pump(Exchange &exchange);
   bool writeHead(Caller &it, Exchange &exchange);
@@ -107,8 +93,8 @@
   BackHttp &Back;
   BufferBudget &Budget;
   EventSink &Sink;
-  std::function<std::string()> Metrics;
-  std::array<DoorRow, 3> Doors{};
+  uv_tcp_t Listener{};
+  bool Listening = false;
   std::vector<std::unique_ptr<Caller>> Callers;
   /// Callers that are disconnected, until the event that ended them is handled.
   std::vector<std::unique_ptr<Caller>> Gone;
--- a/src/http_refusal.cpp
+++ b/src/http_refusal.cpp
@@ -13,30 +13,9 @@
 namespace {
 
 constexpr std::string_view ProblemTypePrefix = "urn:guavasail:refusal:";
-constexpr uint32_t OkStatus = 200;
-constexpr uint32_t NotFoundStatus = 404;
 constexpr uint32_t FirstErrorStatus = 500;
-constexpr uint32_t UnavailableStatus = 503;
 constexpr int64_t MillisPerSecond = 1000;
 
-/// A health endpoint, and the states in which it answers that all is well.
-struct HealthRow {
-  std::string_view Path;
-  std::span<const ServingState> Good;
-};
-
-constexpr ServingState AllStates[] = {
-    ServingState::Starting, ServingState::Ready, ServingState::Unconfirmed,
-    ServingState::Draining};
-constexpr ServingState ReadyState[] = {ServingState::Ready};
-constexpr ServingState DrainingState[] = {ServingState::Draining};
-
-constexpr auto HealthRows = std::to_array<HealthRow>({
-    {"/-/alive", AllStates},
-    {"/-/ready", ReadyState},
-    {"/-/draining", DrainingState},
-});
-
 constexpr auto StateNames = std::to_array<std::string_view>(
     {"starting", "ready", "unconfirmed", "draining"});
 
@@ -86,17 +65,6 @@
   return StateNames[static_cast<size_t>(state)];
 }
 
-uint32_t healthStatus(std::string_view path, ServingState state) {
-  for (const HealthRow &row : HealthRows) {
-    if (row.Path != path)
-      continue;
-    bool good =
-        std::find(row.Good.begin(), row.Good.end(), state) != row.Good.end();
-    return good ? OkStatus : UnavailableStatus;
-  }
-  return NotFoundStatus;
-}
-
 std::string requestId(const Exchange &exchange) {
   if (!exchange.CallerId.empty())
     return exchange.CallerId;
--- a/src/http_refusal.h
+++ b/src/http_refusal.h
@@ -1,6 +1,6 @@
 /// \file
 /// HTTP form of what a VM says by itself: refusals as problem documents
-/// (RFC 9457), health, kept answers.
+/// (RFC 9457) and kept answers.
 #ifndef GUAVASAIL_SRC_HTTP_REFUSAL_H
 #define GUAVASAIL_SRC_HTTP_REFUSAL_H
 
@@ -32,9 +32,6 @@
 /// \param fraction keeps milliseconds.
 std::string retryAfterText(Duration wait, bool fraction);
 
-/// \returns the status with which the health endpoint \p path answers.
-uint32_t healthStatus(std::string_view path, ServingState state);
-
 /// Makes a kept answer the one that is relayed.
 /// \returns false if \p blob is damaged.
 bool takeKeptAnswer(Exchange &exchange, std::string_view blob);
--- a/src/tcp_stream.cpp
+++ b/src/tcp_stream.cpp
@@ -41,8 +41,29 @@
   *buf = uv_buf_init(bytes.data(), static_cast<unsigned>(NextReadBytes));
 }
 
+/// Converts an IP number in text form.
+/// \returns 0 or the library's error.
+int parseAddress(const std::string &address, uint32_t port,
+                 sockaddr_storage &place) {
+  auto number = static_cast<int>(port);
+  int fault = uv_ip4_addr(address.c_str(), number,
+                          reinterpret_cast<sockaddr_in *>(&place));
+  return fault == 0 ? 0
+                    : uv_ip6_addr(address.c_str(), number,
+                                  reinterpret_cast<sockaddr_in6 *>(&place));
+}
+
 } // namespace
 
+bool bindListener(uv_loop_t &loop, uv_tcp_t &listener,
+                  const std::string &address, uint32_t port) {
+  sockaddr_storage place{};
+  uv_tcp_init(&loop, &listener);
+  return parseAddress(address, port, place) == 0 &&
+         uv_tcp_bind(&listener, reinterpret_cast<const sockaddr *>(&place),
+                     0) == 0;
+}
+
 int setAbortiveClose(uv_os_fd_t socket, bool reset) {
   linger option{};
   option.l_onoff = reset ? 1 : 0;
@@ -63,12 +84,7 @@
                               uint32_t port, StreamOwner &owner) {
   auto *stream = new TcpStream(loop, owner);
   sockaddr_storage place{};
-  auto number = static_cast<int>(port);
-  int fault = uv_ip4_addr(address.c_str(), number,
-                          reinterpret_cast<sockaddr_in *>(&place));
-  if (fault != 0)
-    fault = uv_ip6_addr(address.c_str(), number,
-                        reinterpret_cast<sockaddr_in6 *>(&place));
+  int fault = parseAddress(address, port, place);
   uv_tcp_nodelay(&stream->Tcp, 1);
   if (fault == 0)
     fault = uv_tcp_connect(&stream->Connect, &stream->Tcp,
--- a/src/tcp_stream.h
+++ b/src/tcp_stream.h
@@ -49,6 +49,13 @@
 /// Reads the loop's cached clock in milliseconds.
 uint64_t loopMillis(const uv_loop_t &loop);
 
+/// Prepares a socket that is to listen.
+/// \param listener initialised in any case, so that it has to be closed.
+/// \param address IP number in text form.
+/// \returns false if the address cannot be used.
+bool bindListener(uv_loop_t &loop, uv_tcp_t &listener,
+                  const std::string &address, uint32_t port);
+
 /// One TCP connection. It frees itself after `close`.
 class TcpStream {
 public:
--- a/tests/caller_crowd.h
+++ b/tests/caller_crowd.h
@@ -27,6 +27,8 @@
   size_t AnswerBytes = 5;
   /// Responses have no length: the instance closes after each.
   bool Unframed = false;
+  /// The crowd connects to the address for the balancer.
+  bool AtReadyPort = false;
 };
 
 /// Runs a crowd against a daemon. Rounds are bounded, not timed.
--- a/tests/edge_harness.cpp
+++ b/tests/edge_harness.cpp
@@ -263,18 +263,21 @@
   return Id < 0 && WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
 }
 
-EdgeDaemon::EdgeDaemon(const EdgeOptions &options) : Port(freePort()) {
+EdgeDaemon::EdgeDaemon(const EdgeOptions &options)
+    : Port(freePort()), ReadyPort(freePort()) {
   std::string pattern = testing::TempDir() + "guavasail-edge-XXXXXX";
   Folder = ::mkdtemp(pattern.data());
   std::ofstream settings(file("settings.toml"));
-  settings << "[daemon]\nzone = \"z\"\nlisten_port = " << Port << "\n"
+  settings << "[daemon]\nzone = \"z\"\nlisten_port = " << Port
+           << "\nready_listen = \"127.0.0.1:" << ReadyPort << "\"\n"
            << options.Daemon << "\n[limits]\n"
            << options.Limits
            << "\n[[service]]\nname = \"s\"\n[[service.instance]]\n"
               "name = \"i\"\naddress = \"127.0.0.1\"\nzone = \"z\"\nport = "
            << Backend.port()
-           << "\n[[route]]\nname = \"r\"\nprefix = \"/r\"\nservice = \"s\"\n"
-              "timeout_ms = "
+           << "\n[[route]]\nname = \"r\"\nprefix = \""
+           << options.RoutePrefix
+           << "\"\nservice = \"s\"\ntimeout_ms = "
            << options.RouteTimeoutMs
            << "\n[[workspace]]\nname = \"w\"\n[[workspace.key]]\nid = \"k\"\n"
               "digest = \""
@@ -284,7 +287,10 @@
       std::vector<std::string>{GUAVASAIL_BINARY, "serve", "--settings",
                                file("settings.toml")},
       file("log"));
-  for (int n = 0; n < WaitMillis && dial().fd() < 0; ++n)
+  auto isOpen = [&] {
+    return dial().fd() >= 0 && Wire::dial(ReadyPort).fd() >= 0;
+  };
+  for (int n = 0; n < WaitMillis && !isOpen(); ++n)
     ::poll(nullptr, 0, 1);
 }
 
--- a/tests/edge_harness.h
+++ b/tests/edge_harness.h
@@ -108,6 +108,7 @@
   std::string Daemon = {};
   std::string Limits = {};
   uint32_t RouteTimeoutMs = 4000;
+  std::string_view RoutePrefix = "/r";
 };
 
 /// A daemon with one service of one instance, which the test plays.
@@ -117,6 +118,8 @@
 
   [[nodiscard]] Wire dial() const { return Wire::dial(Port); }
   [[nodiscard]] uint16_t port() const { return Port; }
+  /// \returns the port that serves health.
+  [[nodiscard]] uint16_t readyPort() const { return ReadyPort; }
   /// \returns all that the daemon logged so far.
   [[nodiscard]] std::string log() const;
   /// Waits until the daemon logged \p text.
@@ -129,6 +132,7 @@
 
 private:
   uint16_t Port;
+  uint16_t ReadyPort;
   std::string Folder;
 };
 
--- a/tests/edge_last_answer_test.cpp
+++ b/tests/edge_last_answer_test.cpp
@@ -38,6 +38,8 @@
   /// Sent by the instance; it gets no request if this is empty.
   std::string_view FromInstance;
   std::string_view Status;
+  /// Sent to the address for the balancer, which has no TLS.
+  bool OfBalancer = false;
 };
 
 constexpr AnswerCase Answers[] = {
@@ -52,7 +54,7 @@
     {"NoAnswer", "GET", "/r/x", EdgeKey, "what\r\n\r\n", "502"},
     {"KeyUnknown", "GET", "/r/x", "another-key", "", "401"},
     {"RouteUnknown", "GET", "/none", EdgeKey, "", "404"},
-    {"Health", "GET", "/-/alive", EdgeKey, "", "200"},
+    {"Health", "GET", "/-/alive", EdgeKey, "", "200", true},
 };
 
 std::ostream &operator<<(std::ostream &out, const LastCase &row) {
@@ -73,7 +75,9 @@
   std::string limits = "attempts = 1\ncaller_idle_ms = 60000\n";
   EdgeDaemon daemon(last.Secure ? secureOptions(limits)
                                 : EdgeOptions{.Limits = limits});
-  CallerWire caller(daemon, last.Secure);
+  CallerWire caller(answer.OfBalancer ? Wire::dial(daemon.readyPort())
+                                      : daemon.dial(),
+                    last.Secure && !answer.OfBalancer);
   caller.send(std::string(answer.Method) + " " + std::string(answer.Path) +
               " " + std::string(last.Version) +
               "\r\nhost: h\r\nx-api-key: " + std::string(answer.Key) + "\r\n" +
--- a/tests/edge_scenario_test.cpp
+++ b/tests/edge_scenario_test.cpp
@@ -327,7 +327,7 @@
 }
 
 void notReadyWithoutStore(EdgeDaemon &daemon) {
-  Wire health = daemon.dial();
+  Wire health = Wire::dial(daemon.readyPort());
   health.send("GET /-/ready HTTP/1.1\r\nhost: h\r\n\r\n");
   expectAnswer(health, "503");
   EXPECT_NE(health.Received.find("starting: no-source"), std::string::npos);
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -563,7 +563,7 @@
   Wire caller = daemon.dial();
   // The daemon answers another connection after it has read the first part.
   caller.send(row.Request.substr(0, row.Cut));
-  Wire other = daemon.dial();
+  Wire other = Wire::dial(daemon.readyPort());
   other.send("GET /-/alive HTTP/1.1\r\nhost: h\r\n\r\n");
   EXPECT_TRUE(other.receive());
   caller.send(row.Request.substr(row.Cut));
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -52,7 +52,7 @@
       startDaemon(n);
     for (size_t n = 0; n < Ports.size(); ++n)
       EXPECT_TRUE(await([&] {
-        return answerOf(Ports[n], "/-/ready") == "200";
+        return answerOf(ReadyPorts[n], "/-/ready") == "200";
       })) << textOf("vm-" + std::to_string(n) + ".log");
   }
 
@@ -131,6 +131,7 @@
 
   Listener Backend;
   std::array<uint16_t, 2> Ports = {freePort(), freePort()};
+  std::array<uint16_t, 2> ReadyPorts = {freePort(), freePort()};
   std::array<std::unique_ptr<Child>, 2> Daemons;
 
 private:
@@ -184,7 +185,8 @@
     settings << "[daemon]\nname = \"" << name
              << "\"\nzone = \"z\"\nlog_format = \"json\"\nlisten = "
                 "\"127.0.0.1:"
-             << Ports[n] << "\"\n[store]\nendpoint = \"127.0.0.1:" << StorePort
+             << Ports[n] << "\"\nready_listen = \"127.0.0.1:" << ReadyPorts[n]
+             << "\"\n[store]\nendpoint = \"127.0.0.1:" << StorePort
              << "\"\n[limits]\nhold_answers = true\n"
                 "[fleet]\nmode = \"owners\"\naddress = \"127.0.0.1\"\n"
                 "trust_outage = false\npeer_port = "
--- a/tests/secure_wire.cpp
+++ b/tests/secure_wire.cpp
@@ -76,8 +76,7 @@
   std::unique_ptr<SSL, Freed<SSL, &SSL_free>> Connection;
 };
 
-CallerWire::CallerWire(const EdgeDaemon &daemon, bool secure)
-    : Socket(daemon.dial()) {
+CallerWire::CallerWire(Wire socket, bool secure) : Socket(std::move(socket)) {
   if (!secure)
     return;
   // The library writes to a connection that may be gone.
--- a/tests/secure_wire.h
+++ b/tests/secure_wire.h
@@ -18,7 +18,9 @@
 /// One connection to a daemon. All waits are bounded.
 class CallerWire {
 public:
-  CallerWire(const EdgeDaemon &daemon, bool secure);
+  CallerWire(const EdgeDaemon &daemon, bool secure)
+      : CallerWire(daemon.dial(), secure) {}
+  CallerWire(Wire socket, bool secure);
   ~CallerWire();
   CallerWire(const CallerWire &) = delete;
   CallerWire &operator=(const CallerWire &) = delete;
