--- a/include/guavasail/store.h
+++ b/include/guavasail/store.h
@@ -146,6 +146,8 @@
   StoreKey Key;
   uint64_t Expected = 0;
   const StoreValue *Value = nullptr;
+  /// The reply has to tell a `SnapshotRevision`, which may take one call more.
+  bool Snapshot = false;
 };
 
 /// Reads a key once its revision exceeds `After`; ends after `Wait` otherwise.
@@ -190,6 +192,9 @@
   /// When the bytes that show this were asked for, or the call that failed was
   /// sent. It may lie before the request, which joins a read in progress.
   Instant AskedAt = Instant::min();
+  /// Revision of the store of which what was read is an exact copy; 0 if other
+  /// keys may have changed meanwhile.
+  uint64_t SnapshotRevision = 0;
 };
 
 } // namespace guavasail
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -61,6 +61,7 @@
     InitialValue = Keeper.version() > 0 ? Keeper.head() : initialHead();
   }
   write.Value = HeadAbsent ? &InitialValue : &NoValue;
+  write.Snapshot = NeedsSnapshot;
   step.Effects.push(write);
 }
 
@@ -178,7 +179,7 @@
     SeenVersion = head.Version;
     SeenHead = head;
     Keeper.offerHead(head);
-    return confirmSeen(reply.AskedAt, reply.StoreRevision);
+    return confirmSeen(reply.AskedAt, reply, step);
   }
   if (reply.Outcome == StoreOutcome::Missing && Keeper.version() == 0) {
     // Tells the other VMs without a version that they need not read the store
@@ -196,7 +197,7 @@
     NextConfirm = step.Now;
   else if (reply.Revision == SeenRevision) {
     if (reply.Confirms)
-      confirmSeen(reply.AskedAt, reply.StoreRevision);
+      confirmSeen(reply.AskedAt, reply, step);
   } else {
     ConflictRevision = reply.Revision;
     ConflictAt = reply.AskedAt;
@@ -225,31 +226,43 @@
 
 /// Adds a mark for the head seen last.
 /// \param at when it was the newest one.
-/// \param storeRevision the store's revision then.
-void ConfigWatch::confirmSeen(Instant at, uint64_t storeRevision) {
+/// \param reply tells the store's revision then.
+void ConfigWatch::confirmSeen(Instant at, const StoreReplied &reply,
+                              const ConfigStep &step) {
   if (!Times.VersionsNameContent)
     return Marks.confirm({SeenVersion, SeenVersion, at});
-  matchContent(storeRevision);
-  Marks.confirm({SeenVersion, storeRevision, at});
+  matchContent(reply, step);
+  Marks.confirm({SeenVersion, reply.StoreRevision, at});
 }
 
 /// Names the content seen last as the fleet does. If another reader saw a
 /// change in between that has been reverted, its version is in force although
-/// it lacks the later change: the content becomes a version of its own.
-/// \param storeRevision the store's revision at which the content was read.
-void ConfigWatch::matchContent(uint64_t storeRevision) {
-  if (Keeper.version() < SeenVersion)
+/// it lacks the later change: the content becomes a version of its own. Only a
+/// snapshot names a content, so that no two contents get one name.
+/// \param reply tells the store's revision at which the content was read.
+void ConfigWatch::matchContent(const StoreReplied &reply,
+                               const ConfigStep &step) {
+  uint64_t inForce = Keeper.version();
+  uint64_t snapshot = reply.SnapshotRevision;
+  if (snapshot > 0)
+    NeedsSnapshot = false;
+  if (inForce < SeenVersion)
     return;
   bool same = SeenHead.Chunks == Keeper.head().Chunks;
   if (same)
-    SeenVersion = Keeper.version();
-  if (same || storeRevision <= Keeper.version())
+    SeenVersion = inForce;
+  if (same || std::max(reply.StoreRevision, snapshot) <= inForce)
     return;
-  SeenHead.Version = storeRevision;
+  if (snapshot <= inForce) {
+    NeedsSnapshot = true;
+    NextConfirm = step.Now;
+    return;
+  }
+  SeenHead.Version = snapshot;
   for (RecentChange &it : SeenHead.Recent)
-    it.Version = storeRevision;
-  SeenVersion = ReadVersion = storeRevision;
-  Marks.learnVersion(storeRevision);
+    it.Version = snapshot;
+  SeenVersion = ReadVersion = snapshot;
+  Marks.learnVersion(snapshot);
   Keeper.offerHead(SeenHead);
 }
 
@@ -274,7 +287,7 @@
   // from a watch has yet to be confirmed.
   bool wasNewest = ConflictRevision > 0 && SeenRevision >= ConflictRevision;
   if (wasNewest && reply.Confirms)
-    confirmSeen(ConflictAt, reply.StoreRevision);
+    confirmSeen(ConflictAt, reply, step);
   else if (!wasNewest && Active && !Confirming.open())
     NextConfirm = step.Now;
   ConflictRevision = 0;
--- a/src/config_watch.h
+++ b/src/config_watch.h
@@ -80,8 +80,9 @@
   void expire(const ConfigStep &step);
   void onConfirmed(const StoreReplied &reply, const ConfigStep &step);
   void onPartial(const StoreReplied &reply, const ConfigStep &step);
-  void confirmSeen(Instant at, uint64_t storeRevision);
-  void matchContent(uint64_t storeRevision);
+  void confirmSeen(Instant at, const StoreReplied &reply,
+                   const ConfigStep &step);
+  void matchContent(const StoreReplied &reply, const ConfigStep &step);
   void onHead(const StoreReplied &reply, const ConfigStep &step);
   void onChunk(Pending &read, const StoreReplied &reply,
                const ConfigStep &step);
@@ -97,6 +98,9 @@
   /// when it was the newest one.
   uint64_t ConflictRevision = 0;
   Instant ConflictAt{};
+  /// The content needs a name of its own, for which the next read has to be a
+  /// snapshot.
+  bool NeedsSnapshot = false;
   uint32_t LastNumber = 0;
   Pending Confirming;
   Pending Watching;
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -14,6 +14,9 @@
 /// read's time that a check takes.
 constexpr Duration CheckInterval = std::chrono::milliseconds(900);
 constexpr int64_t CheckShare = 11;
+/// Of a page of the paged store.
+constexpr size_t PageItems = 2;
+constexpr uint64_t MaxPageMicros = 20'000;
 
 std::string digestText(const Digest &digest) {
   std::string text;
@@ -29,6 +32,79 @@
 
 } // namespace
 
+std::vector<Digest> chunkDigests(const ChunkTable &table) {
+  std::vector<Digest> digests;
+  for (const CatalogChunk &it : table.Slots)
+    digests.push_back(chunkDigest(it));
+  return digests;
+}
+
+void PagedStore::note(Content content, platform::KvChange change) {
+  change.Item.Revision = History.size();
+  History.push_back(std::move(content));
+  Changes.push_back(std::move(change));
+}
+
+void PagedStore::put(const std::string &instance, uint32_t slots) {
+  Content content = History.back();
+  content[instance] = slots;
+  note(std::move(content), {{instance, std::to_string(slots)}, false});
+}
+
+void PagedStore::drop(const std::string &instance) {
+  Content content = History.back();
+  if (content.erase(instance) > 0)
+    note(std::move(content), {{instance, {}}, true});
+}
+
+void PagedStore::touch() { note(History.back(), {{"~other", "0"}, false}); }
+
+platform::KvPage PagedStore::page(std::string_view after) const {
+  platform::KvPage page;
+  page.StoreRevision = revision();
+  const Content &content = History.back();
+  for (auto it = content.upper_bound(std::string(after)); it != content.end();
+       ++it) {
+    page.More = page.Items.size() == PageItems;
+    if (page.More)
+      break;
+    page.Items.push_back({it->first, std::to_string(it->second)});
+  }
+  return page;
+}
+
+platform::KvChanges PagedStore::changes(uint64_t after) const {
+  platform::KvChanges changes;
+  changes.StoreRevision = revision();
+  changes.Items.assign(Changes.begin() + static_cast<ptrdiff_t>(after) + 1,
+                       Changes.end());
+  return changes;
+}
+
+ChunkTable PagedStore::split(const Content &content) {
+  CatalogSpec catalog;
+  ServiceSpec &service = catalog.Services.emplace_back();
+  service.Name = "tides";
+  for (const auto &[name, slots] : content) {
+    InstanceSpec &it = service.Instances.emplace_back();
+    it.Name = name;
+    it.Slots = slots;
+  }
+  return splitCatalog(catalog);
+}
+
+ChunkTable PagedStore::at(uint64_t revision) const {
+  return split(History[revision]);
+}
+
+ChunkTable PagedStore::collect(const platform::CatalogRead &read) {
+  Content content;
+  for (const auto &[key, item] : read.items())
+    if (!key.starts_with('~'))
+      content[key] = static_cast<uint32_t>(std::stoul(item.Value));
+  return split(content);
+}
+
 std::string FakeStore::nameOf(const StoreKey &key) {
   switch (key.Space) {
   case StoreSpace::Head:
@@ -164,8 +240,8 @@
     Queue.push(delayed);
     return;
   }
-  if (delivery.ConfigCheck)
-    return checkConfig(delivery.Vm);
+  if (delivery.Run)
+    return delivery.Run();
   if (delivery.FromStore)
     endRead(node);
   Effects.clear();
@@ -246,6 +322,8 @@
 void ConfigFleet::on(uint32_t vm, const StoreRead &effect) {
   ++Store.Calls;
   bool own = Init.VersionsNameContent && effect.Key.Space == StoreSpace::Head;
+  if (Init.Paged && !own)
+    return reply(vm, readChunk(Nodes[vm], effect), Duration::zero());
   if (own)
     return reply(vm, readHead(Nodes[vm], effect), Duration::zero());
   if (storeReached(vm))
@@ -299,6 +377,7 @@
     StoreReplied replied{it, StoreOutcome::Conflict, node.Read.Version, nullptr,
                          node.ReadRevision};
     replied.AskedAt = reading.BeganAt;
+    replied.SnapshotRevision = node.ReadRevision;
     reply(vm, replied, Duration::zero());
   }
 }
@@ -306,13 +385,85 @@
 void ConfigFleet::planCheck(uint32_t vm) {
   if (Now + CheckInterval >= Nodes[vm].Reading.EndsAt)
     return;
-  Delivery check;
-  check.At = Now + CheckInterval;
-  check.Order = ++LastOrder;
-  check.Vm = vm;
-  check.Incarnation = Nodes[vm].Incarnation;
-  check.ConfigCheck = true;
-  Queue.push(std::move(check));
+  schedule(vm, CheckInterval, [this, vm] { checkConfig(vm); });
+}
+
+void ConfigFleet::schedule(uint32_t vm, Duration delay,
+                           std::function<void()> run) {
+  Delivery delivery;
+  delivery.At = Now + delay;
+  delivery.Order = ++LastOrder;
+  delivery.Vm = vm;
+  delivery.Incarnation = Nodes[vm].Incarnation;
+  delivery.Run = std::move(run);
+  Queue.push(std::move(delivery));
+}
+
+void ConfigFleet::readPages(uint32_t vm, const StoreWrite &request) {
+  PagedRead &pages = Nodes[vm].Pages;
+  pages.Snapshot |= request.Snapshot;
+  pages.Tickets.push_back(request.Ticket);
+  if (pages.Tickets.size() > 1)
+    return;
+  pages.AskedAt = Now;
+  pages.Read.begin();
+  askPaged(vm);
+}
+
+/// A call reads the store halfway between its sending and its answer.
+void ConfigFleet::askPaged(uint32_t vm) {
+  auto half = std::chrono::microseconds(Random() % MaxPageMicros);
+  schedule(vm, half, [this, vm, half] {
+    platform::CatalogRead &read = Nodes[vm].Pages.Read;
+    if (read.next(true) == platform::ReadStep::Page)
+      read.addPage(Pages.page(read.after()));
+    else
+      read.addChanges(Pages.changes(read.changesAfter()));
+    schedule(vm, half, [this, vm] { takePaged(vm); });
+  });
+}
+
+void ConfigFleet::takePaged(uint32_t vm) {
+  Node &node = Nodes[vm];
+  platform::CatalogRead &read = node.Pages.Read;
+  bool changed = false;
+  if (read.next(false) == platform::ReadStep::Done) {
+    node.Pages.Table = PagedStore::collect(read);
+    changed = chunkDigests(node.Pages.Table) != node.Read.Chunks;
+  }
+  if (read.next(changed || node.Pages.Snapshot) != platform::ReadStep::Done)
+    return askPaged(vm);
+  node.Pages.SnapshotRevision = read.snapshotRevision();
+  node.ReadRevision = read.firstRevision();
+  if (changed) {
+    RecentChange change;
+    change.Version = node.Pages.SnapshotRevision;
+    change.Id = "store-" + std::to_string(change.Version);
+    node.Read = {change.Version, chunkDigests(node.Pages.Table), {change}};
+  }
+  endPaged(vm);
+}
+
+void ConfigFleet::endPaged(uint32_t vm) {
+  Node &node = Nodes[vm];
+  node.Pages.Snapshot = false;
+  for (StoreTicket it : std::exchange(node.Pages.Tickets, {})) {
+    StoreReplied replied{it, StoreOutcome::Conflict, node.Read.Version, nullptr,
+                         node.ReadRevision};
+    replied.AskedAt = node.Pages.AskedAt;
+    replied.SnapshotRevision = node.Pages.SnapshotRevision;
+    reply(vm, replied, Duration::zero());
+  }
+}
+
+StoreReplied ConfigFleet::readChunk(const Node &node,
+                                    const StoreRead &request) {
+  for (const CatalogChunk &it : node.Pages.Table.Slots)
+    if (chunkDigest(it) == request.Key.Chunk) {
+      ReadValue = it;
+      return {request.Ticket, StoreOutcome::Ok, node.Read.Version, &ReadValue};
+    }
+  return {request.Ticket, StoreOutcome::Missing, 0, nullptr};
 }
 
 /// Confirms the configuration read before while a read goes on.
@@ -335,14 +486,19 @@
   if (node.Read.Version == 0)
     return {request.Ticket, StoreOutcome::Missing, 0, nullptr};
   ReadValue = node.Read;
-  return {request.Ticket, StoreOutcome::Ok, node.Read.Version, &ReadValue,
-          node.ReadRevision};
+  StoreReplied replied{request.Ticket, StoreOutcome::Ok, node.Read.Version,
+                       &ReadValue, node.ReadRevision};
+  replied.SnapshotRevision =
+      Init.Paged ? node.Pages.SnapshotRevision : node.ReadRevision;
+  return replied;
 }
 
 void ConfigFleet::on(uint32_t vm, const StoreWrite &effect) {
   ++Store.Calls;
   if (!storeReached(vm))
     return;
+  if (Init.Paged)
+    return readPages(vm, effect);
   if (Init.VersionsNameContent)
     return readCatalog(vm, effect);
   StoreReplied result = Store.write(effect);
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -4,8 +4,10 @@
 #ifndef GUAVASAIL_TESTS_CONFIG_FLEET_H
 #define GUAVASAIL_TESTS_CONFIG_FLEET_H
 
+#include "catalog_read.h"
 #include "config_part.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <queue>
@@ -59,6 +61,35 @@
   std::map<std::string, std::vector<Entry>> Entries;
 };
 
+/// A store whose instances others write, read in pages that are no snapshot.
+class PagedStore {
+public:
+  /// Writes an instance with so many slots.
+  void put(const std::string &instance, uint32_t slots);
+  void drop(const std::string &instance);
+  /// Another writer changes a key that is no part of the catalog.
+  void touch();
+
+  [[nodiscard]] uint64_t revision() const { return History.size() - 1; }
+  /// \returns the items that follow \p after.
+  [[nodiscard]] platform::KvPage page(std::string_view after) const;
+  [[nodiscard]] platform::KvChanges changes(uint64_t after) const;
+  /// \returns the catalog as it was at a revision.
+  [[nodiscard]] ChunkTable at(uint64_t revision) const;
+  /// \returns the catalog that a read collected.
+  static ChunkTable collect(const platform::CatalogRead &read);
+
+private:
+  using Content = std::map<std::string, uint32_t>;
+
+  void note(Content content, platform::KvChange change);
+  static ChunkTable split(const Content &content);
+
+  /// The content at each revision, and what changed it.
+  std::vector<Content> History{1};
+  std::vector<platform::KvChange> Changes{1};
+};
+
 /// Parameters of a fleet.
 struct FleetInit {
   uint32_t Vms = 6;
@@ -69,6 +100,8 @@
   /// A version is the store's revision at which a VM first read its content,
   /// so that VMs name the same content differently.
   bool VersionsNameContent = false;
+  /// The same with a store that is read in pages.
+  bool Paged = false;
   /// Lost messages between daemons, in percent.
   uint32_t LossPercent = 0;
   Duration InZone = std::chrono::microseconds(300);
@@ -139,7 +172,13 @@
   /// \returns the change ids of the audit trail, oldest first.
   [[nodiscard]] std::vector<std::string> auditTrail() const;
 
+  /// \returns the digests of the content in force.
+  [[nodiscard]] std::span<const Digest> content(uint32_t vm) const {
+    return Nodes[vm].Part->keeper().head().Chunks;
+  }
+
   FakeStore Store;
+  PagedStore Pages;
   uint64_t Messages = 0;
 
 private:
@@ -156,6 +195,16 @@
     uint64_t HeadRevision = 0;
     uint64_t KnownRevision = 0;
   };
+  /// A read of the paged store.
+  struct PagedRead {
+    std::vector<StoreTicket> Tickets;
+    platform::CatalogRead Read{"~"};
+    bool Snapshot = false;
+    Instant AskedAt;
+    uint64_t SnapshotRevision = 0;
+    /// What was read last.
+    ChunkTable Table;
+  };
   struct Node {
     std::unique_ptr<ConfigPart> Part;
     CatalogIndex Index;
@@ -170,6 +219,7 @@
     ConfigHead Read;
     uint64_t ReadRevision = 0;
     SlowRead Reading;
+    PagedRead Pages;
   };
   struct Delivery {
     Instant At;
@@ -178,8 +228,8 @@
     uint32_t Incarnation = 0;
     uint32_t From = 0;
     bool FromStore = false;
-    /// The VM asks for the configuration while a read goes on.
-    bool ConfigCheck = false;
+    /// What the VM does then instead of handling a message.
+    std::function<void()> Run;
     PeerBody Body;
     StoreReplied Reply;
     std::shared_ptr<StoreValue> Value;
@@ -212,6 +262,12 @@
   void endRead(Node &node);
   void checkConfig(uint32_t vm);
   void planCheck(uint32_t vm);
+  void schedule(uint32_t vm, Duration delay, std::function<void()> run);
+  void readPages(uint32_t vm, const StoreWrite &request);
+  void askPaged(uint32_t vm);
+  void takePaged(uint32_t vm);
+  void endPaged(uint32_t vm);
+  StoreReplied readChunk(const Node &node, const StoreRead &request);
   StoreReplied readHead(const Node &node, const StoreRead &request);
   template <typename Other> void on(uint32_t, const Other &) {}
   void reply(uint32_t vm, const StoreReplied &reply, Duration delay);
@@ -236,6 +292,9 @@
   std::vector<std::string> Violations;
 };
 
+/// \returns the digests of all slots.
+std::vector<Digest> chunkDigests(const ChunkTable &table);
+
 /// \returns a change with one command.
 Change changeOf(std::string id, Command command);
 
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -27,19 +27,72 @@
   uint64_t Era = 0;
 };
 
+/// What changed after a revision, up to another one, or a refusal to tell.
+struct ChangesSpec {
+  uint64_t StoreRevision = 0;
+  std::vector<std::string_view> Written = {};
+  std::vector<std::string_view> Removed = {};
+  uint32_t Status = 200;
+};
+
 struct PagedReadCase {
   std::string_view Name;
   std::vector<PageSpec> Pages;
   /// Revision up to which the whole catalog has all changes.
   uint64_t Complete;
+  /// The catalog's version: the revision of which it is an exact copy.
+  uint64_t Version;
+  /// Answers to the question what changed after the first page.
+  std::vector<ChangesSpec> Changes = {};
+  /// Pages of a second read.
+  std::vector<PageSpec> Again = {};
+  /// Instances of the catalog.
+  size_t Instances = 1;
 };
 
 const PagedReadCase PagedReads[] = {
-    {"OnePage", {{7, {"op/config", "servers/i-1"}}}, 7},
-    {"ChangeBetweenPages", {{7, {"op/config"}}, {11, {"servers/i-1"}}}, 7},
+    {"OnePage", {{7, {"op/config", "servers/i-1"}}}, 7, 7},
+    {"ChangeBetweenPages",
+     {{7, {"op/config"}}, {11, {"servers/i-1"}}},
+     7,
+     11,
+     {{11, {"vm/a"}}}},
     {"ChangesBetweenAllPages",
      {{7, {"op/config"}}, {11, {"servers/i-1"}}, {12, {"servers/i-2"}}},
-     7},
+     7,
+     14,
+     {{14, {"vm/a"}}},
+     {},
+     2},
+    {"InstanceBehindTheReader",
+     {{7, {"op/config", "servers/i-2"}}, {8, {"servers/i-3"}}},
+     7,
+     8,
+     {{8, {"servers/i-1"}}},
+     {},
+     3},
+    {"InstanceGoneBetweenPages",
+     {{7, {"op/config", "servers/i-1"}}, {8, {"servers/i-2"}}},
+     7,
+     8,
+     {{8, {}, {"servers/i-1"}}}},
+    {"ChangesInTwoParts",
+     {{7, {"op/config"}}, {9, {"servers/i-1"}}},
+     7,
+     9,
+     {{8, {"servers/i-2"}}, {9, {}, {"servers/i-2"}}}},
+    {"HistoryDiscarded",
+     {{7, {"op/config"}}, {8, {"servers/i-1"}}},
+     9,
+     9,
+     {{.Status = 410}},
+     {{9, {"op/config"}}, {9, {"servers/i-1"}}}},
+    {"StoreWithoutChanges",
+     {{7, {"op/config"}}, {8, {"servers/i-1"}}},
+     8,
+     8,
+     {{.Status = 404}},
+     {{8, {"op/config"}}, {8, {"servers/i-1"}}}},
 };
 
 std::ostream &operator<<(std::ostream &out, const PagedReadCase &row) {
@@ -55,26 +108,46 @@
          R"("state":"ready","sequence":1})";
 }
 
+Json itemOf(std::string_view key, uint64_t revision) {
+  // A write encodes its value as a page does.
+  Json write = Json::parse(platform::writeBody(key, valueOf(key), 0));
+  return {{"key", key},
+          {"value", write["writes"][0]["value"]},
+          {"revision", revision},
+          {"created", revision},
+          {"lease", 0}};
+}
+
+std::string responseText(uint32_t status, const Json &body, uint64_t era) {
+  std::string text = body.dump();
+  std::string field =
+      era == 0 ? std::string() : "Store-Era: " + std::to_string(era) + "\r\n";
+  return "HTTP/1.1 " + std::to_string(status) + " Answer\r\n" + field +
+         "content-length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+}
+
 std::string pageText(const PageSpec &page, bool more) {
+  constexpr uint64_t Revision = 3;
   Json items = Json::array();
-  for (std::string_view key : page.Keys) {
-    // A write encodes its value as a page does.
-    Json write = Json::parse(platform::writeBody(key, valueOf(key), 0));
-    items.push_back({{"key", key},
-                     {"value", write["writes"][0]["value"]},
-                     {"revision", 3},
-                     {"created", 3},
-                     {"lease", 0}});
-  }
-  std::string body = Json{{"items", items},
-                          {"has_more", more},
-                          {"store_revision", page.StoreRevision}}
-                         .dump();
-  std::string era = page.Era == 0
-                        ? std::string()
-                        : "Store-Era: " + std::to_string(page.Era) + "\r\n";
-  return "HTTP/1.1 200 OK\r\n" + era +
-         "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  for (std::string_view key : page.Keys)
+    items.push_back(itemOf(key, Revision));
+  Json body = {{"items", items},
+               {"has_more", more},
+               {"store_revision", page.StoreRevision}};
+  return responseText(200, body, page.Era);
+}
+
+std::string changesText(const ChangesSpec &changes) {
+  Json events = Json::array();
+  for (std::string_view key : changes.Written)
+    events.push_back(itemOf(key, changes.StoreRevision));
+  for (std::string_view key : changes.Removed)
+    events.push_back({{"key", key},
+                      {"revision", changes.StoreRevision},
+                      {"tombstone", true}});
+  return responseText(
+      changes.Status,
+      {{"events", events}, {"store_revision", changes.StoreRevision}}, 0);
 }
 
 /// Keeps the last reply of the store.
@@ -127,6 +200,30 @@
     }
   }
 
+  /// Reads the chunks of the newest head into `Sink`.
+  void readChunks(platform::Store &store) {
+    Sink.Services.clear();
+    StoreRead head;
+    head.Key.Space = StoreSpace::Head;
+    store.start(head);
+    for (const Digest &it : Sink.Head.Chunks) {
+      StoreRead chunk;
+      chunk.Key.Space = StoreSpace::Chunk;
+      chunk.Key.Chunk = it;
+      if (it != Digest{})
+        store.start(chunk);
+    }
+    store.recycle();
+  }
+
+  /// \returns the number of instances of the first service.
+  size_t readInstances(platform::Store &store) {
+    StoreReplied reply = *Sink.Reply;
+    readChunks(store);
+    Sink.Reply = reply;
+    return Sink.Services.empty() ? 0 : Sink.Services[0].Instances.size();
+  }
+
   static constexpr int MaxTurns = 5000;
   uv_loop_t Loop{};
   Listener Server;
@@ -136,9 +233,10 @@
 class PagedRead : public StoreLoop,
                   public testing::TestWithParam<PagedReadCase> {};
 
-/// A change between two pages must not count as read with the first page.
+/// Guards against a change between two pages that counts as read with the first
+/// page, and against two contents with one version.
 TEST_P(PagedRead, IsCompleteUpToItsFirstPage) {
-  const std::vector<PageSpec> &pages = GetParam().Pages;
+  const PagedReadCase &row = GetParam();
   StoreSettings settings;
   settings.Address = "127.0.0.1";
   settings.Port = Server.port();
@@ -149,16 +247,32 @@
   store.start(confirm);
   turnUntilReadable(Server.fd());
   Wire calls = Server.accept();
-  for (size_t n = 0; n < pages.size(); ++n) {
+  auto answer = [&](std::string_view call, const std::string &text) {
+    calls.Received.clear();
     turnUntilReadable(calls.fd());
     ASSERT_TRUE(calls.receive());
-    calls.send(pageText(pages[n], n + 1 < pages.size()));
+    EXPECT_NE(calls.Received.find(call), std::string::npos) << calls.Received;
+    calls.send(text);
+  };
+  auto answerPages = [&](const std::vector<PageSpec> &pages) {
+    for (size_t n = 0; n < pages.size(); ++n)
+      answer("/api/kv-range", pageText(pages[n], n + 1 < pages.size()));
+  };
+  answerPages(row.Pages);
+  uint64_t after = row.Pages[0].StoreRevision;
+  for (const ChangesSpec &it : row.Changes) {
+    answer("/api/kv-watch?prefix=&after=" + std::to_string(after) + "&",
+           changesText(it));
+    after = it.StoreRevision;
   }
+  answerPages(row.Again);
   turnUntilReplied();
   ASSERT_TRUE(Sink.Reply);
   EXPECT_EQ(Sink.Reply->Outcome, StoreOutcome::Conflict);
-  EXPECT_EQ(Sink.Reply->Revision, GetParam().Complete);
-  EXPECT_EQ(Sink.Reply->StoreRevision, GetParam().Complete);
+  EXPECT_EQ(Sink.Reply->Revision, row.Version);
+  EXPECT_EQ(Sink.Reply->StoreRevision, row.Complete);
+  EXPECT_EQ(Sink.Reply->SnapshotRevision, row.Version);
+  EXPECT_EQ(readInstances(store), row.Instances);
   store.close();
 }
 
@@ -348,18 +462,7 @@
       return std::nullopt;
     calls->send(pageText(page, false));
     turnUntilReplied();
-    Sink.Services.clear();
-    StoreRead head;
-    head.Key.Space = StoreSpace::Head;
-    store.start(head);
-    for (const Digest &it : Sink.Head.Chunks) {
-      StoreRead chunk;
-      chunk.Key.Space = StoreSpace::Chunk;
-      chunk.Key.Chunk = it;
-      if (it != Digest{})
-        store.start(chunk);
-    }
-    store.recycle();
+    readChunks(store);
     if (Sink.Services.empty() || Sink.Services[0].Instances.empty())
       return std::nullopt;
     return Sink.Services[0].Instances[0].Evacuated;
