Logs and metrics tell where a late version was held up

A change that is in force late on one VM could not be told from a push that was lost, a read that was slow or a VM that asked nobody: the log named neither who sent a version nor how old it was by then.

`config-in-force` names the source of a version, the time since a VM first read it (it travels with the version as an age) and the age of the newest mark of the version before, which bounds the time since the acceptance. `request-placed` names the age of the mark that decided and the instance's state, and `request-sent-late` a request that waited 100 ms or more for its connection. Both ages are also served as histograms.

--- a/include/guavasail/effect.h
+++ b/include/guavasail/effect.h
@@ -142,6 +142,8 @@
   Duration Wait{};
   /// Active configuration version.
   uint64_t Version = 0;
+  /// Time for which this version has not been confirmed.
+  Duration MarkAge{};
 };
 
 /// Another configuration version became active on this VM.
@@ -152,6 +154,13 @@
   /// Age of the newest confirmation that the store's newest version was this
   /// one or an older one.
   Duration MarkAge{};
+  /// VM that sent the version; invalid if this VM read it from the store.
+  VmHandle Source;
+  /// Time since a VM first read the version from the store.
+  Duration SeenAge{};
+  /// Age of the newest confirmation of the version before: the version is not
+  /// older. `Duration::max()` if there was none.
+  Duration StaleTime = Duration::max();
 };
 
 /// The evacuation of a zone began or ended on this VM.
--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -217,11 +217,16 @@
   CatalogPatch Patch;
   /// Digest over the chunk digests after the patch.
   Digest Result;
+  /// Time since a VM first read the sender's version from the store, without
+  /// the time that messages took.
+  Duration SeenAge{};
 };
 
 /// The head of the configuration that is active at the sender.
 struct ConfigHeadUpdate {
   ConfigHead Head;
+  /// See `ConfigDelta`.
+  Duration SeenAge{};
 };
 
 /// Requests entries of a chunk.
--- a/src/back_http.cpp
+++ b/src/back_http.cpp
@@ -35,6 +35,8 @@
 constexpr size_t IdleBufferBytes = 32 * 1024;
 /// Left of an announced idle time, for the way of the last request.
 constexpr uint64_t IdleMarginMs = 1000;
+/// A request that waits longer for its connection is logged.
+constexpr uint64_t SlowSendMs = 100;
 constexpr std::string_view EncodingName = "content-encoding:";
 constexpr std::string_view AcceptEncodingName = "accept-encoding:";
 constexpr std::string_view KeepAliveName = "keep-alive:";
@@ -129,6 +131,8 @@
   BackendCall *Call = nullptr;
   /// When the request's time is over, in milliseconds of the loop's clock.
   uint64_t Due = 0;
+  /// When the attempt was decided on, likewise.
+  uint64_t StartedAt = 0;
   bool HeadSent = false;
   bool LastChunkSent = false;
   bool AnswerBegun = false;
@@ -213,6 +217,7 @@
   it.Call = call.get();
   it.Attempt = effect.Attempt;
   it.Due = loopMillis(Loop) + static_cast<uint64_t>(call->Remaining.count());
+  it.StartedAt = loopMillis(Loop);
   it.HeadSent = it.LastChunkSent = false;
   exchange->Calls.push_back(std::move(call));
   // The start of a long body is not kept, so it cannot be sent again.
@@ -278,6 +283,11 @@
   // A chunked body that is whole by now has a length.
   it.LastChunkSent = !exchange->BodyChunked || exchange->RequestWhole;
   it.HeadSent = true;
+  if (uint64_t wait = loopMillis(Loop) - it.StartedAt; wait >= SlowSendMs)
+    logLine(LogLevel::Info, "request-sent-late",
+            {{"request", requestId(*exchange)},
+             {"instance", it.Spec.Name},
+             {"wait_ms", static_cast<int64_t>(wait)}});
   it.Carried.add(exchange->CallerId);
   it.Stream->write(requestHead(it, *exchange));
   sendBody(it);
--- a/src/config_part.cpp
+++ b/src/config_part.cpp
@@ -83,7 +83,8 @@
     Audit.onReply(reply, context.Effects);
     break;
   }
-  publishAdopted(step, reply.Ticket.User == StoreUser::Watch);
+  publishAdopted(step,
+                 reply.Ticket.User == StoreUser::Watch ? &reply : nullptr);
 }
 
 void ConfigPart::onPeer(VmHandle from, const ConfigMark &message,
@@ -119,13 +120,27 @@
     context.Effects.push(AuditReply{{}, head.Recent.empty()});
 }
 
+/// Records where the version in force came from, and how late.
+void ConfigPart::noteAdopted(const ConfigStep &step, const StoreReplied *read) {
+  ConfigOrigin origin = Sync.offered();
+  if (read)
+    origin = {{}, std::max(read->AskedAt, Instant{})};
+  Sync.setOrigin(origin);
+  SpreadDelays.add(ageOf(origin.SeenAt, step.Now));
+  StaleTime = ageOf(Marks.markedAt(), step.Now);
+  if (StaleTime != Duration::max())
+    StaleTimes.add(StaleTime);
+}
+
 /// Announces adopted versions to the other components until the version no
 /// longer changes.
-void ConfigPart::publishAdopted(const ConfigStep &step, bool read) {
+void ConfigPart::publishAdopted(const ConfigStep &step,
+                                const StoreReplied *read) {
   Watch.allowRead(std::max(Watch.readVersion(), Writer.baseVersion()));
   while (PublishedVersion != Keeper.version()) {
     uint64_t from = PublishedVersion;
     PublishedVersion = Keeper.version();
+    noteAdopted(step, read);
     Marks.adopt(PublishedVersion);
     bool spreads = Writer.takeWritten() || (read && Sync.readsForFleet());
     Sync.onAdopted(from, spreads, step);
--- a/src/config_part.h
+++ b/src/config_part.h
@@ -8,6 +8,7 @@
 #include "config_sync.h"
 #include "config_watch.h"
 #include "config_writer.h"
+#include "delay_histogram.h"
 #include "guavasail/reducer.h"
 
 #include <cstdint>
@@ -104,6 +105,20 @@
   }
   [[nodiscard]] bool watching() const { return Watch.active(); }
 
+  /// \returns where the version in force came from.
+  [[nodiscard]] const ConfigOrigin &origin() const { return Sync.origin(); }
+  /// \returns the age of the newest mark of the version before when the one in
+  /// force replaced it.
+  [[nodiscard]] Duration staleTime() const { return StaleTime; }
+  /// \returns times from the first read of a version, by any VM, until it was
+  /// in force here.
+  [[nodiscard]] const DelayHistogram &spreadDelays() const {
+    return SpreadDelays;
+  }
+  /// \returns ages of the newest mark of a version when it was replaced. A
+  /// change is in force within this time of its acceptance.
+  [[nodiscard]] const DelayHistogram &staleTimes() const { return StaleTimes; }
+
   /// \returns the patches adopted since the last call, for the index.
   std::vector<CatalogPatch> takeAdoptedPatches() {
     return Keeper.takeAdoptedPatches();
@@ -111,8 +126,10 @@
 
 private:
   ConfigStep makeStep(const ConfigContext &context) const;
-  /// \param read true if the store replied in this step.
-  void publishAdopted(const ConfigStep &step, bool read = false);
+  /// \param read the store's reply in this step; null if there was none.
+  void publishAdopted(const ConfigStep &step,
+                      const StoreReplied *read = nullptr);
+  void noteAdopted(const ConfigStep &step, const StoreReplied *read);
 
   bool UsesStore;
   ConfigKeeper Keeper;
@@ -123,6 +140,9 @@
   AuditReader Audit;
   FleetReach Reach;
   uint64_t PublishedVersion = 0;
+  Duration StaleTime = Duration::max();
+  DelayHistogram SpreadDelays;
+  DelayHistogram StaleTimes;
 };
 
 } // namespace guavasail
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -228,22 +228,38 @@
   for (const ConfigDelta *it : deltas)
     if (patchBytes(it->Patch) > Times.MaxPushBytes)
       return false;
-  for (const ConfigDelta *it : deltas)
-    step.Effects.push(SendPeers{{to.begin(), to.end()}, *it});
+  for (const ConfigDelta *it : deltas) {
+    ConfigDelta delta = *it;
+    delta.SeenAge = ageOf(Origin.SeenAt, step.Now);
+    step.Effects.push(SendPeers{{to.begin(), to.end()}, std::move(delta)});
+  }
   return true;
 }
 
+void ConfigSync::sendHead(VmHandle to, const ConfigStep &step) {
+  Duration seenAge = ageOf(Origin.SeenAt, step.Now);
+  send(to, ConfigHeadUpdate{Keeper.head(), seenAge}, step);
+}
+
+void ConfigSync::noteOffer(VmHandle from, Duration seenAge,
+                           const ConfigStep &step) {
+  bool plausible =
+      seenAge >= Duration::zero() && seenAge <= step.Now.time_since_epoch();
+  Offered = {from, plausible ? step.Now - seenAge : step.Now};
+}
+
 void ConfigSync::onPeer(VmHandle from, const ConfigFetch &message,
                         const ConfigStep &step) {
   if (message.Version >= Keeper.version())
     return;
   if (message.Whole || !sendDeltas({&from, 1}, message.Version, step))
-    send(from, ConfigHeadUpdate{Keeper.head()}, step);
+    sendHead(from, step);
 }
 
 void ConfigSync::onPeer(VmHandle from, const ConfigDelta &message,
                         const ConfigStep &step) {
   Marks.learnVersion(message.Change.Version);
+  noteOffer(from, message.SeenAge, step);
   DeltaResult result = Keeper.apply(message);
   if (result == DeltaResult::Adopted && from == FetchSource)
     FetchDeadline = NeverInstant;
@@ -256,6 +272,7 @@
 void ConfigSync::onPeer(VmHandle from, const ConfigHeadUpdate &message,
                         const ConfigStep &step) {
   Marks.learnVersion(message.Head.Version);
+  noteOffer(from, message.SeenAge, step);
   Keeper.offerHead(message.Head);
   if (!Keeper.gathering())
     return;
@@ -301,7 +318,7 @@
   if (message.Slot >= ChunkSlots)
     return;
   if (Keeper.head().Chunks[message.Slot] != message.Chunk)
-    return send(from, ConfigHeadUpdate{Keeper.head()}, step);
+    return sendHead(from, step);
   const CatalogChunk &chunk = Keeper.table().Slots[message.Slot];
   ConfigChunkPart part;
   part.Chunk = message.Chunk;
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -65,6 +65,15 @@
   uint32_t MaxPushBytes = 96 * 1024;
 };
 
+/// Where a version came from.
+struct ConfigOrigin {
+  /// VM that sent it; invalid if this VM read it from the store.
+  VmHandle From;
+  /// When a VM first read it from the store, or later by the time that messages
+  /// took.
+  Instant SeenAt{};
+};
+
 /// Largest number of watchers of one zone.
 inline constexpr size_t MaxWatchers = 8;
 
@@ -120,6 +129,12 @@
   /// \param spreads true if this VM wrote it, or read it for the fleet.
   void onAdopted(uint64_t from, bool spreads, const ConfigStep &step);
 
+  /// Sets where the version in force came from.
+  void setOrigin(const ConfigOrigin &origin) { Origin = origin; }
+  [[nodiscard]] const ConfigOrigin &origin() const { return Origin; }
+  /// \returns the origin of the version that a peer sent last.
+  [[nodiscard]] const ConfigOrigin &offered() const { return Offered; }
+
   /// \returns true if versions that this VM reads spread from it to all zones.
   [[nodiscard]] bool readsForFleet() const { return Times.Readers > 0; }
 
@@ -167,11 +182,15 @@
                   const ConfigStep &step);
   void pushToZone(uint64_t from, const ConfigStep &step);
   void pushToWatchers(uint64_t from, const ConfigStep &step);
+  void sendHead(VmHandle to, const ConfigStep &step);
+  void noteOffer(VmHandle from, Duration seenAge, const ConfigStep &step);
   static void send(VmHandle to, PeerBody body, const ConfigStep &step);
 
   ConfigKeeper &Keeper;
   Freshness &Marks;
   SyncTimes Times;
+  ConfigOrigin Origin;
+  ConfigOrigin Offered;
   std::mt19937_64 Random;
   WatcherSet OwnWatchers;
   WatcherSet OtherWatchers;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -113,6 +113,13 @@
   return init;
 }
 
+/// \returns \p time for the log, -1 if there is none.
+int64_t loggedMillis(Duration time) {
+  if (time == Duration::max())
+    return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 template <typename HandleType> Daemon *ownerOf(HandleType *handle) {
   return static_cast<Daemon *>(handle->data);
 }
@@ -381,10 +388,6 @@
   auto name = [&](auto handle) -> std::string_view {
     return handle.valid() ? state.Catalog.name(handle) : std::string_view();
   };
-  auto millis = [](Duration time) {
-    return static_cast<int64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-  };
   auto vmName = [&](VmHandle vm) -> std::string_view {
     return vm.valid() ? std::string_view(state.Members.entry(vm).Name)
                       : std::string_view();
@@ -400,9 +403,24 @@
            {"attempt", static_cast<int64_t>(effect.Attempt)},
            {"status", static_cast<int64_t>(effect.Status)},
            {"outcome", attemptOutcomeName(effect.Outcome)},
-           {"elapsed_ms", millis(effect.Elapsed)},
-           {"wait_ms", millis(effect.Wait)},
-           {"version", static_cast<int64_t>(effect.Version)}});
+           {"elapsed_ms", loggedMillis(effect.Elapsed)},
+           {"wait_ms", loggedMillis(effect.Wait)},
+           {"version", static_cast<int64_t>(effect.Version)},
+           {"mark_age_ms", loggedMillis(effect.MarkAge)},
+           {"instance_state", instanceState(effect.Instance)}});
+}
+
+/// \returns the state of \p instance as far as this VM knows.
+std::string_view Daemon::instanceState(InstanceHandle instance) const {
+  const ReducerState &state = Decisions.state();
+  if (!instance.valid())
+    return {};
+  const InstanceEntry &entry = state.Catalog.at(instance);
+  if (!entry.Present)
+    return "gone";
+  if (!state.acceptsRequests(instance, bootTime()))
+    return "leaving";
+  return entry.Spec.Cold ? "cold" : "ready";
 }
 
 std::string Daemon::metricsText() const {
@@ -415,6 +433,7 @@
   line("requests_open", state.Requests.open());
   line("requests_waiting", state.Dispatch.waiting());
   line("config_version", state.Catalog.version());
+  appendConfigDelays(text);
   appendServiceLoads(text);
   if (Front) {
     const CallerStats &callers = Front->callerStats();
@@ -438,6 +457,24 @@
   return text;
 }
 
+/// Appends how late versions of the configuration came into force.
+void Daemon::appendConfigDelays(std::string &text) const {
+  auto append = [&](std::string_view name, const DelayHistogram &delays) {
+    auto counts = delays.cumulative();
+    auto line = [&](std::string_view bound, uint64_t count) {
+      text.append("guavasail_").append(name).append("_ms_bucket{le=\"");
+      text.append(bound).append("\"} ").append(std::to_string(count));
+      text.append("\n");
+    };
+    for (size_t n = 0; n < DelayHistogram::BoundsMillis.size(); ++n)
+      line(std::to_string(DelayHistogram::BoundsMillis[n]), counts[n]);
+    line("+Inf", counts.back());
+  };
+  const ConfigPart &config = Decisions.state().Config;
+  append("config_spread", config.spreadDelays());
+  append("config_stale", config.staleTimes());
+}
+
 /// Appends the load of each service on which this VM has granted slots lately.
 void Daemon::appendServiceLoads(std::string &text) const {
   const ReducerState &state = Decisions.state();
@@ -459,12 +496,16 @@
 }
 
 void Daemon::on(const ConfigActivated &effect) {
-  auto age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(effect.MarkAge);
+  std::string_view source = "store";
+  if (effect.Source.valid())
+    source = Decisions.state().Members.entry(effect.Source).Name;
   logLine(LogLevel::Info, "config-in-force",
           {{"version", static_cast<int64_t>(effect.Version)},
            {"before", static_cast<int64_t>(effect.Before)},
-           {"mark_age_ms", static_cast<int64_t>(age.count())}});
+           {"mark_age_ms", loggedMillis(effect.MarkAge)},
+           {"source", source},
+           {"seen_ms", loggedMillis(effect.SeenAge)},
+           {"stale_ms", loggedMillis(effect.StaleTime)}});
 }
 
 void Daemon::on(const ZoneEvacuationChanged &effect) {
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -64,6 +64,8 @@
   bool startLibrary();
   std::string metricsText() const;
   void appendServiceLoads(std::string &text) const;
+  void appendConfigDelays(std::string &text) const;
+  [[nodiscard]] std::string_view instanceState(InstanceHandle instance) const;
 
   void on(const StartAttempt &effect);
   void on(const CancelAttempt &effect);
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -295,13 +295,14 @@
 template <> struct PeerFields<ConfigDelta> {
   static constexpr uint32_t Kind = 43;
   static constexpr std::tuple Members{&ConfigDelta::From, &ConfigDelta::Change,
-                                      &ConfigDelta::Patch,
-                                      &ConfigDelta::Result};
+                                      &ConfigDelta::Patch, &ConfigDelta::Result,
+                                      &ConfigDelta::SeenAge};
 };
 
 template <> struct PeerFields<ConfigHeadUpdate> {
   static constexpr uint32_t Kind = 44;
-  static constexpr std::tuple Members{&ConfigHeadUpdate::Head};
+  static constexpr std::tuple Members{&ConfigHeadUpdate::Head,
+                                      &ConfigHeadUpdate::SeenAge};
 };
 
 template <> struct PeerFields<ConfigChunkRequest> {
--- a/src/reducer_config.cpp
+++ b/src/reducer_config.cpp
@@ -80,8 +80,10 @@
   uint64_t before = Catalog.version();
   for (const CatalogPatch &patch : patches)
     Catalog.apply(patch, Config.keeper().version());
-  step.Effects.push(
-      ConfigActivated{Catalog.version(), before, Config.markAge(step.Now)});
+  const ConfigOrigin &origin = Config.origin();
+  step.Effects.push(ConfigActivated{
+      Catalog.version(), before, Config.markAge(step.Now), origin.From,
+      ageOf(origin.SeenAt, step.Now), Config.staleTime()});
   applyCatalog(step);
 }
 
--- a/src/reducer_request.cpp
+++ b/src/reducer_request.cpp
@@ -200,6 +200,7 @@
   it.Elapsed = step.Now - request.Arrived;
   it.Wait = wait;
   it.Version = Catalog.version();
+  it.MarkAge = Config.markAge(step.Now);
   step.Effects.push(it);
 }
 
