--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr Duration MemberPeriod = std::chrono::milliseconds(250);
-constexpr Duration SuspectAfter = std::chrono::seconds(2);
 constexpr Duration WithdrawalBound = std::chrono::seconds(5);
 /// Between two checks of the configuration during a read, and the part of the
 /// read's time that a check takes.
@@ -563,8 +562,8 @@
     if (heard == LastHeard.end())
       state = VmState::Unknown;
     else
-      state = Now - heard->second < SuspectAfter ? VmState::Alive
-                                                 : VmState::Suspect;
+      state = Now - heard->second < Init.SuspectAfter ? VmState::Alive
+                                                      : VmState::Suspect;
   }
 }
 
@@ -649,6 +648,18 @@
   return Nodes[vm].Part->watching();
 }
 
+std::vector<uint32_t> ConfigFleet::watchersOf(uint32_t zone,
+                                              uint32_t vm) const {
+  const Node &node = Nodes[vm];
+  WatcherSet watchers;
+  ZoneHandle handle = node.Members[zone].Zone;
+  watchers.compute({node.Members, {vm}}, handle, Init.Part.Sync);
+  std::vector<uint32_t> vms;
+  for (VmHandle it : watchers.items())
+    vms.push_back(it.Value);
+  return vms;
+}
+
 uint64_t ConfigFleet::writeCatalog(const CatalogSpec &catalog) {
   ChunkTable table = splitCatalog(catalog);
   FakeStore::Entry last = Store.head();
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -106,6 +106,8 @@
   uint32_t LossPercent = 0;
   Duration InZone = std::chrono::microseconds(300);
   Duration CrossZone = std::chrono::milliseconds(4);
+  /// Time of silence after which a VM is suspected by the others.
+  Duration SuspectAfter = std::chrono::seconds(2);
 };
 
 /// The course of a change.
@@ -160,6 +162,9 @@
   }
   [[nodiscard]] uint32_t watchers() const;
   [[nodiscard]] bool watches(uint32_t vm) const;
+  /// \returns the watchers of \p zone in the view of \p vm.
+  [[nodiscard]] std::vector<uint32_t> watchersOf(uint32_t zone,
+                                                 uint32_t vm) const;
   [[nodiscard]] uint32_t zoneOf(uint32_t vm) const { return vm % Init.Zones; }
   [[nodiscard]] Instant now() const { return Now; }
   [[nodiscard]] const std::map<std::string, ChangeTrace> &changes() const {
