Chunks are asked only of a VM that has them

A VM that collects the chunks of a version and gets an older head, because it asked a VM that is behind as well, asked that VM for each chunk. A VM without a chunk answers with its head, and each of up to eight answers led to up to eight requests: a storm between two VMs that grows until a newer version is in force.

A head is followed only if it is the one that is collected.

--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -274,7 +274,10 @@
   Marks.learnVersion(message.Head.Version);
   noteOffer(from, message.SeenAge, step);
   Keeper.offerHead(message.Head);
-  if (!Keeper.gathering())
+  // A sender that is behind what is being collected does not have its chunks.
+  bool collects =
+      Keeper.gathering() && Keeper.pendingVersion() == message.Head.Version;
+  if (!collects)
     return;
   FetchSource = from;
   // What has arrived of a chunk stays if it is still wanted.
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -457,6 +457,58 @@
                            return std::string(it.param.Name);
                          });
 
+/// A head that arrives while the chunks of version 9 are collected.
+struct HeadCase {
+  std::string_view Name;
+  uint64_t Version;
+  /// The sender is asked for chunks.
+  bool Asks;
+};
+
+constexpr HeadCase HeadCases[] = {
+    {"OlderThanCollected", 7, false},
+    {"Collected", 9, true},
+    {"Newer", 11, true},
+};
+
+class HeadFromPeer : public testing::TestWithParam<HeadCase> {};
+
+/// Guards against requests to a VM that lacks the chunks: it answers each of
+/// them with its head again.
+TEST_P(HeadFromPeer, IsFollowedIfItIsCollected) {
+  ConfigInit init;
+  useReaderTimes(init);
+  ConfigKeeper keeper;
+  Freshness marks(init.Bounds);
+  ConfigSync sync(keeper, marks, init.Sync, 1);
+  CatalogIndex names;
+  std::vector<VmEntry> vms(3);
+  for (VmEntry &it : vms)
+    it.Zone = names.zone("z");
+  EffectBuffer effects;
+  FleetReach reach;
+  ConfigStep step{Instant{seconds(1)}, effects, {vms, {0}},
+                  vms[0].Zone,         reach,   names};
+  auto headOf = [](uint64_t version) {
+    ConfigHead head;
+    head.Version = version;
+    ChunkTable table =
+        splitCatalog(largeCatalog(3, static_cast<uint32_t>(version)));
+    for (const CatalogChunk &it : table.Slots)
+      head.Chunks.push_back(chunkDigest(it));
+    return head;
+  };
+  sync.onPeer({1}, ConfigHeadUpdate{headOf(9)}, step);
+  effects.clear();
+  sync.onPeer({2}, ConfigHeadUpdate{headOf(GetParam().Version)}, step);
+  EXPECT_EQ(!effects.items().empty(), GetParam().Asks);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, HeadFromPeer, testing::ValuesIn(HeadCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 FleetInit readerInit() {
   FleetInit init;
   init.Vms = 24;
