Each VM acts by the age of its own newest mark

Cause: a chain of waits, none of which began with the age of what a VM had: a reader's interval (1.1 s), the silence of the watchers (1 s) counted from the last answered question (up to 0.6 s apart), a jitter of up to 0.4 s, then a read.

A change that a VM lacks is younger than its mark. So the mark's age drives all: the first reader reads at 0.8 s, the second at 1.0 s, any VM asks several others at 1.15 s, watchers read from 1.2 s on, all others from 1.35 s to 1.6 s in the order of their zone. The last age and one read bound the time until a change is in force, whichever VMs are lost. Marks no longer wait for questions at intervals: a VM keeps a request open at its watcher, a watcher at the readers, answered once the mark is newer; the age counts from the arrival of the request and may be negative, so that it stays a lower bound. Whoever holds a request is sent changes, a VM that reads for lack of a watcher pushes to its zone, and a fetch from a VM that is gone no longer blocks others for 0.4 s. Word of a slow read in progress travels with an age and keeps others from reading as well.

--- a/include/guavasail/peer_message.h
+++ b/include/guavasail/peer_message.h
@@ -179,6 +179,10 @@
   uint32_t Number = 0;
   /// Active version at the sender.
   uint64_t Version = 0;
+  /// The receiver replies once it has a mark that is newer by a while.
+  bool Hold = false;
+  /// Age of the sender's mark; `Duration::max()` if it has none.
+  Duration MarkAge = Duration::max();
 };
 
 /// A VM that watches the store for its zone could not reach it.
@@ -197,9 +201,13 @@
   uint64_t MarkVersion = 0;
   /// Every version from this one on has all changes accepted by then.
   uint64_t MarkRevision = UINT64_MAX;
-  /// `Duration::max()` if the sender has no mark.
+  /// When the request arrived; negative if the mark was made while the request
+  /// was held. `Duration::max()` if the sender has no mark.
   Duration MarkAge = Duration::max();
   std::vector<ZoneOutage> Outages;
+  /// Time since a VM got a part of a slow read of the store;
+  /// `Duration::max()` if that was long ago.
+  Duration ReadingAge = Duration::max();
 };
 
 /// Requests the changes from a version to the receiver's version.
--- a/src/config_part.cpp
+++ b/src/config_part.cpp
@@ -11,23 +11,18 @@
 constexpr auto FreshNames = std::to_array<std::string_view>(
     {"confirmed", "store-away", "behind", "cut-off"});
 
-// A change has to be in force 2 s after its acceptance. Each of the readers
-// sees it within one interval and pushes it through the watchers of the zones.
 constexpr uint32_t ReaderCount = 2;
-constexpr Duration ReaderConfirmInterval = std::chrono::milliseconds(1100);
+constexpr uint32_t ReaderRandomAsks = 2;
 constexpr Duration ReaderStartAskInterval = std::chrono::milliseconds(150);
 constexpr Duration ReaderAskInterval = std::chrono::milliseconds(600);
 constexpr Duration ReaderWatcherTimeout = std::chrono::milliseconds(1000);
 constexpr Duration ReaderAloneGraceTime = std::chrono::milliseconds(1200);
-// Without faults a mark is at most one confirm interval and two ask intervals
-// old. A withdrawn key must be refused after 5 s.
-constexpr Duration ReaderUrgentMarkAge = std::chrono::milliseconds(2300);
 constexpr Duration ReaderDirectWatchMarkAge = std::chrono::milliseconds(2600);
 
 } // namespace
 
 void useReaderTimes(ConfigInit &config) {
-  config.Store.ConfirmInterval = ReaderConfirmInterval;
+  config.Store.ConfirmInterval = config.Sync.Ages.Reader;
   config.Store.VersionsNameContent = true;
   config.Sync.Readers = ReaderCount;
   config.Sync.AloneGraceTime = ReaderAloneGraceTime;
@@ -35,7 +30,7 @@
   config.Sync.StartAskInterval = ReaderStartAskInterval;
   config.Sync.WatcherTimeout = ReaderWatcherTimeout;
   config.Sync.DirectWatchMarkAge = ReaderDirectWatchMarkAge;
-  config.Sync.UrgentMarkAge = ReaderUrgentMarkAge;
+  config.Sync.RandomAsks = ReaderRandomAsks;
 }
 
 std::string_view notReadyReasonName(NotReadyReason reason) {
@@ -53,8 +48,8 @@
       Writer(Keeper, Marks, init.Writer) {}
 
 ConfigStep ConfigPart::makeStep(const ConfigContext &context) const {
-  return {context.Now,  context.Effects, context.Members,
-          context.Zone, Reach,           context.Names};
+  return {context.Now, context.Effects, context.Members,   context.Zone,
+          Reach,       context.Names,   Watch.progressAt()};
 }
 
 void ConfigPart::onTick(const ConfigContext &context) {
@@ -63,7 +58,8 @@
   measureReach(context.Members, context.Zone, context.Now, Reach);
   ConfigStep step = makeStep(context);
   Sync.onTick(Watch.storeUnreachable(), step);
-  Watch.setActive(Sync.shouldWatch(step));
+  bool watches = Sync.shouldWatch(step);
+  Watch.setActive(watches, Sync.readMarkAge());
   Watch.onTick(step);
   Writer.onTick(step);
   publishAdopted(step);
@@ -147,6 +143,7 @@
     Writer.onTick(step);
   }
   Watch.onTick(step);
+  Sync.answerHeld(step);
 }
 
 Instant ConfigPart::nextDue() const {
--- a/src/config_step.h
+++ b/src/config_step.h
@@ -21,6 +21,8 @@
   const FleetReach &Reach;
   /// Interns the zone names in messages.
   CatalogIndex &Names;
+  /// See `ConfigWatch::progressAt`.
+  Instant ReadProgressAt = Instant::min();
 };
 
 /// \returns true if \p vm may receive messages.
--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -7,20 +7,10 @@
 
 namespace {
 
-/// Distinguishes watchers from other uses of rendezvous hashing.
-constexpr uint64_t WatcherHashKey = 0x77617463;
 constexpr uint64_t ReaderHashKey = 0x72656164;
 constexpr size_t MaxDeltas = 8;
-/// Staggers the VMs of a zone that lost its watchers. Together with the ask
-/// interval and the watcher timeout, the first of them reads the store within
-/// the 2.5 s allowed for a change.
-constexpr Duration MaxTakeoverJitter = std::chrono::milliseconds(400);
-/// The same for watchers that take over from the readers.
-constexpr int TakeoverJitterDivisor = 4;
-/// Largest factor of the jitter in large zones, and the same for VMs whose mark
-/// is about to become too old.
-constexpr int MaxTakeoverFactor = 8;
-constexpr int MaxUrgentTakeoverFactor = 2;
+/// Time after which a fetch without progress may move to another source.
+constexpr Duration FetchPatience = std::chrono::milliseconds(120);
 /// Time in which a VM counts as just started.
 constexpr Duration StartTime = std::chrono::seconds(3);
 
@@ -62,9 +52,9 @@
   Count = rendezvousTop(ReaderHashKey, members, eligible, room).size();
 }
 
-bool WatcherSet::contains(VmHandle vm) const {
-  return std::find(Items.begin(), Items.begin() + Count, vm) !=
-         Items.begin() + Count;
+size_t WatcherSet::find(VmHandle vm) const {
+  auto it = std::find(Items.begin(), Items.begin() + Count, vm);
+  return static_cast<size_t>(it - Items.begin());
 }
 
 void ConfigSync::send(VmHandle to, PeerBody body, const ConfigStep &step) {
@@ -74,8 +64,18 @@
 void ConfigSync::updateOwnWatchers(const ConfigStep &step) {
   ZoneVms = OwnWatchers.compute(step.Members, step.Zone, Times);
   KnownVms = step.Members.Vms.size();
-  if (readsForFleet())
-    Readers.computeReaders(step.Members, Times);
+  if (!readsForFleet())
+    return;
+  Readers.computeReaders(step.Members, Times);
+  updateReadMarkAge(step);
+}
+
+const ConfigSync::Strategy &ConfigSync::strategyOf(const SyncTimes &times) {
+  static constexpr Strategy AtIntervals{&ConfigSync::askAtIntervals,
+                                        &ConfigSync::readsStoreForZone};
+  static constexpr Strategy ByMarkAge{&ConfigSync::askByMarkAge,
+                                      &ConfigSync::readsStoreByMarkAge};
+  return times.Readers > 0 ? ByMarkAge : AtIntervals;
 }
 
 void ConfigSync::onTick(bool storeUnreachable, const ConfigStep &step) {
@@ -87,42 +87,43 @@
   if (FetchDeadline <= step.Now) {
     FetchDeadline = NeverInstant;
     FetchSource = {};
+    NextAsk = step.Now;
   }
   if (step.Now < NextAsk)
     return;
   updateOwnWatchers(step);
+  ++Round;
+  (this->*ActiveStrategy.Ask)(storeUnreachable, step);
+}
+
+void ConfigSync::askAtIntervals(bool storeUnreachable, const ConfigStep &step) {
   // A watcher without the store depends on the marks of other zones to serve
   // its own.
   bool urgent = storeUnreachable ||
                 ageOf(Marks.markedAt(), step.Now) >= Times.UrgentMarkAge;
-  ++Round;
   sendAsks(step, urgent);
-  bool asksReaders = readsForFleet() && OwnWatchers.contains(step.Members.Self);
   Duration interval = urgent ? Times.UrgentAskInterval : Times.AskInterval;
-  if (asksReaders)
-    interval = std::min(interval, Times.WatcherAskInterval);
-  bool awaitsMark = Times.StartAskInterval > Duration::zero() &&
-                    Marks.markedAt() == Instant::min() &&
-                    step.Now < deadlineAfter(Started, StartTime);
-  if (awaitsMark)
-    interval = std::min(interval, Times.StartAskInterval);
+  NextAsk = deadlineAfter(step.Now, std::min(interval, askInterval(step)));
+}
+
+/// \returns the interval of a VM that has just started, `Duration::max()` for
+/// others.
+Duration ConfigSync::askInterval(const ConfigStep &step) const {
   bool awaitsList =
       KnownVms <= 1 && step.Now < deadlineAfter(Started, Times.AloneGraceTime);
   if (awaitsList)
-    interval = Times.AloneCheckInterval;
-  NextAsk = deadlineAfter(step.Now, interval);
+    return Times.AloneCheckInterval;
+  bool awaitsMark = Times.StartAskInterval > Duration::zero() &&
+                    Marks.markedAt() == Instant::min() &&
+                    step.Now < deadlineAfter(Started, StartTime);
+  return awaitsMark ? Times.StartAskInterval : Duration::max();
 }
 
 void ConfigSync::sendAsks(const ConfigStep &step, bool urgent) {
   bool watcher = OwnWatchers.contains(step.Members.Self);
-  if (!watcher || !readsForFleet() || urgent)
-    askZoneWatcher(step.Zone, step);
-  if (watcher)
-    for (VmHandle vm : Readers.items())
-      if (vm != step.Members.Self)
-        ask(vm, step);
+  askZoneWatcher(step.Zone, step);
   size_t zones = step.Reach.Zones.size();
-  if (watcher && !urgent && zones > 1 && !readsForFleet())
+  if (watcher && !urgent && zones > 1)
     askZoneWatcher(step.Reach.Zones[1 + Round % (zones - 1)], step);
   if (!urgent)
     return;
@@ -147,11 +148,30 @@
 }
 
 void ConfigSync::ask(VmHandle to, const ConfigStep &step) {
-  if (!to.valid())
+  if (!to.valid() || to == step.Members.Self)
     return;
-  PendingAsk &pending = PendingAsks[++LastAskNumber % MaxPendingAsks];
-  pending = {LastAskNumber, to, step.Now};
-  send(to, ConfigMarkRequest{LastAskNumber, Keeper.version()}, step);
+  sendRequest(to, false, PendingAsks[(LastAskNumber + 1) % MaxPendingAsks],
+              step);
+}
+
+void ConfigSync::sendRequest(VmHandle to, bool hold, PendingAsk &pending,
+                             const ConfigStep &step) {
+  pending = {++LastAskNumber, to, step.Now};
+  Duration age = ageOf(Marks.markedAt(), step.Now);
+  send(to, ConfigMarkRequest{LastAskNumber, Keeper.version(), hold, age}, step);
+}
+
+ConfigSync::PendingAsk *ConfigSync::findHeld(VmHandle from, uint32_t number) {
+  auto it = std::find_if(
+      HeldAsks.begin(), HeldAsks.end(), [&](const PendingAsk &pending) {
+        return number != 0 && pending.Number == number && pending.To == from;
+      });
+  return it == HeldAsks.end() ? nullptr : &*it;
+}
+
+ConfigSync::PendingAsk *ConfigSync::findAsk(VmHandle from, uint32_t number) {
+  PendingAsk &pending = PendingAsks[number % MaxPendingAsks];
+  return pending.Number == number && pending.To == from ? &pending : nullptr;
 }
 
 VmHandle ConfigSync::randomPeer(const ConfigStep &step) {
@@ -167,53 +187,91 @@
   return {};
 }
 
-void ConfigSync::onPeer(VmHandle from, const ConfigMarkRequest &message,
-                        const ConfigStep &step) {
+void ConfigSync::sendMark(VmHandle to, uint32_t number, Instant receivedAt,
+                          const ConfigStep &step) {
   ConfigMark mark;
-  mark.Number = message.Number;
+  mark.Number = number;
   mark.Version = Keeper.version();
   mark.MarkVersion = Marks.mark().Version;
   mark.MarkRevision = Marks.mark().Revision;
-  mark.MarkAge = ageOf(Marks.markedAt(), step.Now);
+  Duration age = ageOf(Marks.markedAt(), step.Now);
+  if (age != Duration::max())
+    mark.MarkAge = receivedAt - Marks.markedAt();
   Duration maxAge = Marks.bounds().maxAge();
   for (ZoneHandle zone : step.Reach.Zones) {
-    Duration age = ageOf(Marks.storeOutageAt(zone), step.Now);
-    if (age < maxAge && mark.MarkAge >= Marks.bounds().OutageReportAge)
-      mark.Outages.push_back({std::string(step.Names.name(zone)), age});
+    Duration outage = ageOf(Marks.storeOutageAt(zone), step.Now);
+    if (outage < maxAge && age >= Marks.bounds().OutageReportAge)
+      mark.Outages.push_back({std::string(step.Names.name(zone)), outage});
   }
+  Duration reading =
+      ageOf(std::max(ReadingSeenAt, step.ReadProgressAt), step.Now);
+  if (reading < MaxReadingAge)
+    mark.ReadingAge = reading;
+  send(to, std::move(mark), step);
+}
+
+void ConfigSync::onPeer(VmHandle from, const ConfigMarkRequest &message,
+                        const ConfigStep &step) {
   // Deltas go first, so that the requester need not fetch the version that the
   // mark announces.
   if (message.Version > 0 && message.Version < Keeper.version())
     sendDeltas({&from, 1}, message.Version, step);
-  send(from, std::move(mark), step);
   if (message.Version > Keeper.version())
     fetch(from, step);
+  if (!message.Hold)
+    return sendMark(from, message.Number, step.Now, step);
+  if (Held.size() <= from.Value)
+    Held.resize(from.Value + 1);
+  HeldAsk &it = Held[from.Value];
+  it = {message.Number, message.Version, step.Now, Instant::min()};
+  bool hasMark = message.MarkAge >= Duration::zero() &&
+                 message.MarkAge < Marks.bounds().maxAge();
+  if (hasMark)
+    it.MarkedAt = step.Now - message.MarkAge;
+  if (hasNews(it))
+    answer(from, it, step);
 }
 
 void ConfigSync::onPeer(VmHandle from, const ConfigMark &message,
                         const ConfigStep &step) {
-  const PendingAsk &pending = PendingAsks[message.Number % MaxPendingAsks];
-  if (pending.Number != message.Number || pending.To != from)
+  PendingAsk *held = findHeld(from, message.Number);
+  PendingAsk *pending = held ? held : findAsk(from, message.Number);
+  if (!pending)
     return;
-  LastPeerAnswer = std::max(LastPeerAnswer, pending.Sent);
+  Instant sent = pending->Sent;
+  LastPeerAnswer = std::max(LastPeerAnswer, sent);
   if (OwnWatchers.contains(from))
-    LastWatcherAnswer = std::max(LastWatcherAnswer, pending.Sent);
-  // The answer was created after the request was sent, so its ages can be
-  // counted from the sending, however long the answer took.
+    LastWatcherAnswer = std::max(LastWatcherAnswer, sent);
+  // The request arrived after it was sent, so the ages at its arrival can be
+  // counted from the sending, however long the way and the answer took. A mark
+  // that was made later is not younger than the time since the sending.
+  Instant before = Marks.markedAt();
   Duration maxAge = Marks.bounds().maxAge();
-  if (message.MarkAge >= Duration::zero() && message.MarkAge < maxAge)
-    Marks.confirm({message.MarkVersion, message.MarkRevision,
-                   pending.Sent - message.MarkAge});
+  if (message.MarkAge >= sent - step.Now && message.MarkAge < maxAge)
+    Marks.confirm(
+        {message.MarkVersion, message.MarkRevision, sent - message.MarkAge});
   for (const ZoneOutage &it : message.Outages)
     if (it.Age >= Duration::zero() && it.Age < maxAge)
-      Marks.noteStoreOutage(step.Names.zone(it.Zone), pending.Sent - it.Age);
+      Marks.noteStoreOutage(step.Names.zone(it.Zone), sent - it.Age);
+  noteReading(message.ReadingAge, step);
   Marks.learnVersion(message.Version);
   if (message.Version > Keeper.version())
     fetch(from, step);
+  if (Marks.markedAt() > before)
+    noteSource(from);
+  if (held) {
+    held->Number = 0;
+    noteHeldReply(sent, step);
+  }
 }
 
 void ConfigSync::fetch(VmHandle from, const ConfigStep &step) {
-  if (FetchDeadline != NeverInstant)
+  // A source that is gone must not delay the fetch from another one.
+  bool underWay =
+      FetchDeadline != NeverInstant &&
+      (from == FetchSource ||
+       FetchDeadline - step.Now > Times.FetchTimeout - FetchPatience);
+  if (underWay)
     return;
   FetchSource = from;
   FetchDeadline = deadlineAfter(step.Now, Times.FetchTimeout);
@@ -357,31 +415,37 @@
   if (!Times.Push)
     return;
   updateOwnWatchers(step);
-  if (OwnWatchers.contains(step.Members.Self))
-    pushToZone(from, step);
+  PushTargets.clear();
+  VmHandle self = step.Members.Self;
+  bool replacesWatchers = spreads && readsForFleet() && !Readers.contains(self);
+  if (replacesWatchers || OwnWatchers.contains(self))
+    addZone(step);
   if (spreads)
-    pushToWatchers(from, step);
+    addWatchers(step);
+  addHeld();
+  auto order = [](VmHandle a, VmHandle b) { return a.Value < b.Value; };
+  std::sort(PushTargets.begin(), PushTargets.end(), order);
+  PushTargets.erase(std::unique(PushTargets.begin(), PushTargets.end()),
+                    PushTargets.end());
+  std::erase(PushTargets, self);
+  PushIncomplete = !sendDeltas(PushTargets, from, step);
 }
 
-void ConfigSync::pushToZone(uint64_t from, const ConfigStep &step) {
-  PushTargets.clear();
+/// Adds the VMs of this zone. Every watcher pushes to all of them, since
+/// another one may have failed; duplicates are ignored.
+void ConfigSync::addZone(const ConfigStep &step) {
   for (uint32_t n = 0; n < step.Members.Vms.size(); ++n) {
     const VmEntry &vm = step.Members.Vms[n];
-    // Every watcher pushes to the whole zone, since another one may have
-    // failed; duplicates are ignored.
     if (vm.Zone == step.Zone && isReachable(vm) && !OwnWatchers.contains({n}))
       PushTargets.push_back({n});
   }
-  sendDeltas(PushTargets, from, step);
 }
 
-/// Pushes to the watchers of all zones, for their VMs.
-void ConfigSync::pushToWatchers(uint64_t from, const ConfigStep &step) {
-  PushTargets.clear();
+/// Adds the watchers of all zones, for their VMs.
+void ConfigSync::addWatchers(const ConfigStep &step) {
   auto add = [&](const WatcherSet &watchers) {
-    for (VmHandle vm : watchers.items())
-      if (vm != step.Members.Self)
-        PushTargets.push_back(vm);
+    PushTargets.insert(PushTargets.end(), watchers.items().begin(),
+                       watchers.items().end());
   };
   add(OwnWatchers);
   for (ZoneHandle zone : step.Reach.Zones) {
@@ -390,7 +454,13 @@
     OtherWatchers.compute(step.Members, zone, Times);
     add(OtherWatchers);
   }
-  sendDeltas(PushTargets, from, step);
+}
+
+/// Adds the VMs that rely on this one for marks.
+void ConfigSync::addHeld() {
+  for (uint32_t n = 0; n < Held.size(); ++n)
+    if (Held[n].Number != 0 && Held[n].Version < Keeper.version())
+      PushTargets.push_back({n});
 }
 
 /// \returns how long after others this VM replaces silent watchers, longer in
@@ -407,26 +477,29 @@
   bool knowsOthers = step.Members.Vms.size() > 1;
   bool waits = Started == Instant::min() ||
                step.Now < deadlineAfter(Started, Times.AloneGraceTime);
-  if (!knowsOthers)
-    return !waits || Times.AloneGraceTime == Duration::zero();
-  VmHandle self = step.Members.Self;
-  bool watcher = OwnWatchers.contains(self);
-  if (readsForFleet() ? Readers.contains(self) : watcher)
+  if (knowsOthers)
+    ActsAsWatcher = (this->*ActiveStrategy.ReadsStore)(step);
+  else
+    ActsAsWatcher = !waits || Times.AloneGraceTime == Duration::zero();
+  return ActsAsWatcher;
+}
+
+bool ConfigSync::readsStoreForZone(const ConfigStep &step) {
+  if (OwnWatchers.contains(step.Members.Self))
     return true;
   if (Started == Instant::min())
     return false;
   Instant marked = std::max(Marks.markedAt(), Started);
-  Duration jitter = takeoverDelay(1) / TakeoverJitterDivisor;
-  if (watcher && step.Now - marked >= Times.TakeoverMarkAge + jitter)
-    TakeoverUntil = deadlineAfter(step.Now, Times.TakeoverTime);
-  if (step.Now < TakeoverUntil)
-    return true;
   Instant lastAnswer = std::max(LastWatcherAnswer, Started);
-  if (!watcher && step.Now - lastAnswer >=
-                      Times.WatcherTimeout + takeoverDelay(MaxTakeoverFactor))
-    return true;
-  return step.Now - marked >=
-         Times.DirectWatchMarkAge + takeoverDelay(MaxUrgentTakeoverFactor);
+  return step.Now - lastAnswer >=
+             Times.WatcherTimeout + takeoverDelay(MaxTakeoverFactor) ||
+         step.Now - marked >=
+             Times.DirectWatchMarkAge + takeoverDelay(MaxUrgentTakeoverFactor);
+}
+
+Instant ConfigSync::nextDue() const {
+  return std::min(
+      {NextAsk, FetchDeadline, ActsAsWatcher ? NeverInstant : readDue()});
 }
 
 bool ConfigSync::hasRecentPeerAnswer(Instant now) const {
--- a/src/config_watch.cpp
+++ b/src/config_watch.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-void ConfigWatch::setActive(bool active) {
+void ConfigWatch::setActive(bool active, Duration markAge) {
+  ConfirmMarkAge = markAge;
   if (active == Active)
     return;
   Active = active;
@@ -41,7 +42,7 @@
 
 void ConfigWatch::onTick(const ConfigStep &step) {
   expire(step);
-  if (Active && !Confirming.open() && step.Now >= NextConfirm)
+  if (Active && !Confirming.open() && step.Now >= confirmDue())
     confirm(step);
   if (Active && Reached && SeenRevision > 0 && !Watching.open() &&
       step.Now >= NextWatch)
@@ -49,8 +50,19 @@
   readChunks(step);
 }
 
+/// \returns when to confirm the head. What another VM has confirmed meanwhile
+/// need not be read again.
+Instant ConfigWatch::confirmDue() const {
+  bool isOwnTask =
+      ConfirmMarkAge == Duration::zero() || NeedsSnapshot || HeadAbsent;
+  if (isOwnTask || Marks.markedAt() == Instant::min())
+    return NextConfirm;
+  return std::max(NextConfirm, deadlineAfter(Marks.markedAt(), ConfirmMarkAge));
+}
+
 void ConfigWatch::confirm(const ConfigStep &step) {
   Confirming = begin(step.Now, Times.ReplyTimeout);
+  ProgressAt = Instant::min();
   NextConfirm = deadlineAfter(step.Now, Times.ConfirmInterval);
   // A compare-and-swap that cannot succeed changes nothing, and its reply has
   // the newest revision; a read may return a stale copy.
@@ -213,6 +225,7 @@
 void ConfigWatch::onPartial(const StoreReplied &reply, const ConfigStep &step) {
   Reached = true;
   ConfirmFailed = false;
+  ProgressAt = step.Now;
   Confirming.Deadline = deadlineAfter(step.Now, Times.ReplyTimeout);
   bool confirmsSeen = reply.Confirms && reply.Revision == SeenRevision;
   if (!confirmsSeen)
@@ -312,7 +325,7 @@
   due = std::min(due, RetryRead);
   if (!Active)
     return due;
-  due = std::min(due, Confirming.open() ? Confirming.Deadline : NextConfirm);
+  due = std::min(due, Confirming.open() ? Confirming.Deadline : confirmDue());
   return due;
 }
 
--- a/src/config_watch.h
+++ b/src/config_watch.h
@@ -34,8 +34,16 @@
       : Keeper(keeper), Marks(marks), Times(times) {}
 
   /// Starts or stops the confirmations and the watch.
-  void setActive(bool active);
+  /// \param markAge age of the newest mark, from this VM or another one, at
+  /// which the store is confirmed again; zero to confirm it at each interval.
+  void setActive(bool active, Duration markAge = {});
   [[nodiscard]] bool active() const { return Active; }
+  /// \returns when the store last answered a part of the confirmation that is
+  /// under way, which a store that is not slow answers as a whole;
+  /// `Instant::min()` if it did not.
+  [[nodiscard]] Instant progressAt() const {
+    return Confirming.open() ? ProgressAt : Instant::min();
+  }
 
   /// Sends the requests that are due.
   void onTick(const ConfigStep &step);
@@ -87,11 +95,13 @@
   void onChunk(Pending &read, const StoreReplied &reply,
                const ConfigStep &step);
   void noteFailure(Instant sent, const ConfigStep &step);
+  [[nodiscard]] Instant confirmDue() const;
 
   ConfigKeeper &Keeper;
   Freshness &Marks;
   StoreTimes Times;
   bool Active = false;
+  Duration ConfirmMarkAge{};
   bool Reached = false;
   bool ConfirmFailed = false;
   /// Revision that a confirmation returned and whose head is being read, and
@@ -103,6 +113,7 @@
   bool NeedsSnapshot = false;
   uint32_t LastNumber = 0;
   Pending Confirming;
+  Instant ProgressAt = Instant::min();
   Pending Watching;
   Pending HeadRead;
   std::array<Pending, ChunkReads> Reads;
--- a/src/peer_codec_fields.h
+++ b/src/peer_codec_fields.h
@@ -275,15 +275,17 @@
 
 template <> struct PeerFields<ConfigMarkRequest> {
   static constexpr uint32_t Kind = 40;
-  static constexpr std::tuple Members{&ConfigMarkRequest::Number,
-                                      &ConfigMarkRequest::Version};
+  static constexpr std::tuple Members{
+      &ConfigMarkRequest::Number, &ConfigMarkRequest::Version,
+      &ConfigMarkRequest::Hold, &ConfigMarkRequest::MarkAge};
 };
 
 template <> struct PeerFields<ConfigMark> {
   static constexpr uint32_t Kind = 41;
   static constexpr std::tuple Members{
       &ConfigMark::Number,       &ConfigMark::Version, &ConfigMark::MarkVersion,
-      &ConfigMark::MarkRevision, &ConfigMark::MarkAge, &ConfigMark::Outages};
+      &ConfigMark::MarkRevision, &ConfigMark::MarkAge, &ConfigMark::Outages,
+      &ConfigMark::ReadingAge};
 };
 
 template <> struct PeerFields<ConfigFetch> {
