--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -405,7 +405,7 @@
   if (pages.Tickets.size() > 1)
     return;
   pages.AskedAt = Now;
-  pages.Read.begin();
+  pages.Read.begin(Random() % 2 == 0);
   askPaged(vm);
 }
 
@@ -640,6 +640,18 @@
   return Nodes[vm].Index.workspace(key).valid();
 }
 
+std::vector<std::string>
+ConfigFleet::leavingInstances(uint32_t vm, std::string_view service) const {
+  std::vector<std::string> names;
+  const ServiceSpec *spec = Nodes[vm].Part->keeper().table().service(service);
+  if (!spec)
+    return names;
+  for (const InstanceSpec &it : spec->Instances)
+    if (it.Leaving)
+      names.push_back(it.Name);
+  return names;
+}
+
 NotReadyReason ConfigFleet::notReadyReason(uint32_t vm) const {
   return Nodes[vm].Part->notReadyReason();
 }
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -152,6 +152,9 @@
   [[nodiscard]] FreshState freshState(uint32_t vm) const;
   [[nodiscard]] uint64_t version(uint32_t vm) const;
   [[nodiscard]] bool holdsKey(uint32_t vm, const Digest &key) const;
+  /// \returns the instances of a service that \p vm knows to leave.
+  [[nodiscard]] std::vector<std::string>
+  leavingInstances(uint32_t vm, std::string_view service) const;
   /// \returns the store's revision at which \p vm last read the catalog.
   [[nodiscard]] uint64_t readRevision(uint32_t vm) const {
     return Nodes[vm].ReadRevision;
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -48,6 +48,9 @@
   std::vector<PageSpec> Again = {};
   /// Instances of the catalog.
   size_t Instances = 1;
+  /// Answers to the question what changed, after each page of the second read
+  /// but the first.
+  std::vector<ChangesSpec> ChangesAgain = {};
 };
 
 const PagedReadCase PagedReads[] = {
@@ -87,6 +90,14 @@
      9,
      {{.Status = 410}},
      {{9, {"op/config"}}, {9, {"servers/i-1"}}}},
+    {"HistoryDiscardedWithinOneRead",
+     {{7, {"op/config"}}, {8, {"servers/i-1"}}},
+     9,
+     13,
+     {{.Status = 410}},
+     {{9, {"op/config"}}, {10, {"servers/i-1"}}, {12, {"servers/i-4"}}},
+     3,
+     {{11, {"servers/i-2"}}, {13, {}, {"servers/i-9"}}}},
     {"StoreWithoutChanges",
      {{7, {"op/config"}}, {8, {"servers/i-1"}}},
      8,
@@ -260,12 +271,23 @@
   };
   answerPages(row.Pages);
   uint64_t after = row.Pages[0].StoreRevision;
-  for (const ChangesSpec &it : row.Changes) {
+  auto answerChanges = [&](const ChangesSpec &changes) {
     answer("/api/kv-watch?prefix=&after=" + std::to_string(after) + "&",
-           changesText(it));
-    after = it.StoreRevision;
+           changesText(changes));
+    after = changes.StoreRevision;
+  };
+  for (const ChangesSpec &it : row.Changes)
+    answerChanges(it);
+  if (row.ChangesAgain.empty()) {
+    answerPages(row.Again);
+  } else {
+    after = row.Again[0].StoreRevision;
+    for (size_t n = 0; n < row.Again.size(); ++n) {
+      answer("/api/kv-range", pageText(row.Again[n], n + 1 < row.Again.size()));
+      if (n > 0)
+        answerChanges(row.ChangesAgain[n - 1]);
+    }
   }
-  answerPages(row.Again);
   turnUntilReplied();
   ASSERT_TRUE(Sink.Reply);
   EXPECT_EQ(Sink.Reply->Outcome, StoreOutcome::Conflict);
