--- a/src/config_sync_marks.cpp
+++ b/src/config_sync_marks.cpp
@@ -39,8 +39,8 @@
   if (reader < Readers.items().size()) {
     ReadMarkAge = ages.Reader + ages.ReaderStep * static_cast<int>(reader);
   } else if (watcher < OwnWatchers.items().size()) {
-    Duration step = ages.WatcherStep * static_cast<int>(watcher);
-    ReadMarkAge = std::min(ages.Watcher + step, ages.Other);
+    Duration turn = ages.WatcherStep * static_cast<int>(watcher);
+    ReadMarkAge = std::min(ages.Watcher + turn, ages.Other);
   } else {
     uint64_t own =
         rendezvousWeight(WatcherHashKey, members.at(members.Self).Name);
--- a/tests/late_change_test.cpp
+++ b/tests/late_change_test.cpp
@@ -28,26 +28,30 @@
   uint32_t Vms;
   uint32_t Zones;
   Duration ReadTime;
+  uint32_t Instances = 20;
 };
 
 constexpr FleetSize Sizes[] = {
     {"Of36", 36, 4, milliseconds(30)},
-    {"Of52", 52, 4, milliseconds(60)},
+    {"Of52", 52, 4, milliseconds(60), 387},
     {"Of88", 88, 4, milliseconds(100)},
     {"Of443", 443, 6, milliseconds(150)},
 };
 
 std::string keyName(uint32_t change) { return "c" + std::to_string(change); }
 
-/// Changes that an operator makes, and what each VM has of them.
+std::string instanceName(uint32_t n) { return "i" + std::to_string(1000 + n); }
+
+/// Changes that an operator makes, each with an instance that leaves, and what
+/// each VM has of them.
 class ChangeRun {
 public:
   ChangeRun(const FleetSize &size, uint64_t seed)
-      : Random(seed), Fleet(init(size, seed)), LostUntil(Fleet.vms()) {
+      : Random(seed), Fleet(init(size, seed)), Instances(size.Instances),
+        LostUntil(Fleet.vms()) {
     change();
     Fleet.Store.Faults.Delay = size.ReadTime;
     Fleet.run(seconds(6));
-    Reached = Changes;
   }
 
   void change() {
@@ -59,6 +63,13 @@
       it.Name = keyName(n);
       it.Keys.push_back({"k", sampleDigest(it.Name)});
     }
+    ServiceSpec &service = catalog.Services.emplace_back();
+    service.Name = Service;
+    for (uint32_t n = 0; n < Instances; ++n) {
+      InstanceSpec &it = service.Instances.emplace_back();
+      it.Name = instanceName(n);
+      it.Leaving = n == Changes % Instances;
+    }
     Fleet.writeCatalog(catalog);
     Pending.emplace_back(Fleet.now(), Changes);
   }
@@ -158,16 +169,22 @@
     }
   }
 
+  /// \returns true if \p vm has \p change or a later one, with its instances.
   [[nodiscard]] bool has(uint32_t vm, uint32_t change) const {
-    for (uint32_t n = change; n <= Changes; ++n)
-      if (Fleet.holdsKey(vm, sampleDigest(keyName(n))))
-        return true;
-    return false;
+    uint32_t newest = Changes;
+    while (newest >= change &&
+           !Fleet.holdsKey(vm, sampleDigest(keyName(newest))))
+      --newest;
+    return newest >= change &&
+           Fleet.leavingInstances(vm, Service) ==
+               std::vector{instanceName(newest % Instances)};
   }
 
+  static constexpr std::string_view Service = "tides";
+
+  uint32_t Instances;
   std::vector<Instant> LostUntil;
   uint32_t Changes = 0;
-  uint32_t Reached = 0;
   std::deque<std::pair<Instant, uint32_t>> Pending;
   std::string Violation;
 };
