--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -243,8 +243,9 @@
   if (OwnWatchers.contains(from))
     LastWatcherAnswer = std::max(LastWatcherAnswer, sent);
   // The request arrived after it was sent, so the ages at its arrival can be
-  // counted from the sending, however long the way and the answer took. A mark
-  // that was made later is not younger than the time since the sending.
+  // counted from the sending, however long the way and the answer took. The age
+  // of a mark that was made while the request was held is negative, by less
+  // than the time since the sending.
   Instant before = Marks.markedAt();
   Duration maxAge = Marks.bounds().maxAge();
   if (message.MarkAge >= sent - step.Now && message.MarkAge < maxAge)
