A held request of a VM that has to fetch is answered at once

No caller saw it; found while reading the diff. A VM that is behind by more than the deltas that the receiver keeps or sends had its request held like any other and learned of the newer version with the next mark, up to 0.8 s later. The receiver now answers at once if it sent no deltas, so that the VM fetches. HeldAsk failed before for a VM without a version and one too far behind.

--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -214,8 +214,9 @@
                         const ConfigStep &step) {
   // Deltas go first, so that the requester need not fetch the version that the
   // mark announces.
-  if (message.Version > 0 && message.Version < Keeper.version())
-    sendDeltas({&from, 1}, message.Version, step);
+  bool behind = message.Version < Keeper.version();
+  bool lacksDeltas = behind && (message.Version == 0 ||
+                                !sendDeltas({&from, 1}, message.Version, step));
   if (message.Version > Keeper.version())
     fetch(from, step);
   if (!message.Hold)
@@ -228,7 +229,8 @@
                  message.MarkAge < Marks.bounds().maxAge();
   if (hasMark)
     it.MarkedAt = step.Now - message.MarkAge;
-  if (hasNews(it))
+  // Without deltas the requester has to fetch what the mark announces.
+  if (lacksDeltas || hasNews(it))
     answer(from, it, step);
 }
 
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -509,6 +509,53 @@
                            return std::string(it.param.Name);
                          });
 
+/// Version of a VM that asks for a mark, which the receiver does not have.
+struct HeldAskCase {
+  std::string_view Name;
+  uint64_t Version;
+  /// The receiver answers at once, though it has no mark.
+  bool Answers;
+};
+
+constexpr HeldAskCase HeldAskCases[] = {
+    {"SameVersion", 5, false},
+    {"OneDeltaBehind", 3, false},
+    {"WithoutVersion", 0, true},
+    {"TooFarBehind", 1, true},
+};
+
+class HeldAsk : public testing::TestWithParam<HeldAskCase> {};
+
+/// Guards against a VM that waits for a mark although it has to fetch.
+TEST_P(HeldAsk, IsAnsweredAtOnceWithoutDeltas) {
+  ConfigInit init;
+  useReaderTimes(init);
+  ConfigKeeper keeper;
+  Freshness marks(init.Bounds);
+  ConfigSync sync(keeper, marks, init.Sync, 1);
+  adopt(keeper, 3);
+  adopt(keeper, 5);
+  CatalogIndex names;
+  std::vector<VmEntry> vms(2);
+  EffectBuffer effects;
+  FleetReach reach;
+  ConfigStep step{Instant{seconds(1)}, effects, {vms, {0}},
+                  names.zone("z"),     reach,   names};
+  ConfigMarkRequest request{1, GetParam().Version, true};
+  sync.onPeer({1}, request, step);
+  bool answered = std::any_of(
+      effects.items().begin(), effects.items().end(), [](const Effect &it) {
+        const auto *send = std::get_if<SendPeer>(&it);
+        return send && std::holds_alternative<ConfigMark>(send->Body);
+      });
+  EXPECT_EQ(answered, GetParam().Answers);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, HeldAsk, testing::ValuesIn(HeldAskCases),
+                         [](const auto &it) {
+                           return std::string(it.param.Name);
+                         });
+
 FleetInit readerInit() {
   FleetInit init;
   init.Vms = 24;
--- a/tests/late_change_test.cpp
+++ b/tests/late_change_test.cpp
@@ -29,6 +29,8 @@
   uint32_t Zones;
   Duration ReadTime;
   uint32_t Instances = 20;
+  /// Each change modifies all instances.
+  bool ChangesAll = false;
 };
 
 constexpr FleetSize Sizes[] = {
@@ -48,7 +50,7 @@
 public:
   ChangeRun(const FleetSize &size, uint64_t seed)
       : Random(seed), Fleet(init(size, seed)), Instances(size.Instances),
-        LostUntil(Fleet.vms()) {
+        ChangesAll(size.ChangesAll), LostUntil(Fleet.vms()) {
     change();
     Fleet.Store.Faults.Delay = size.ReadTime;
     Fleet.run(seconds(6));
@@ -69,6 +71,7 @@
       InstanceSpec &it = service.Instances.emplace_back();
       it.Name = instanceName(n);
       it.Leaving = n == Changes % Instances;
+      it.Slots = 1 + (ChangesAll ? Changes % 8 : 0);
     }
     Fleet.writeCatalog(catalog);
     Pending.emplace_back(Fleet.now(), Changes);
@@ -183,6 +186,7 @@
   static constexpr std::string_view Service = "tides";
 
   uint32_t Instances;
+  bool ChangesAll;
   std::vector<Instant> LostUntil;
   uint32_t Changes = 0;
   std::deque<std::pair<Instant, uint32_t>> Pending;
@@ -235,8 +239,10 @@
 
 const SweepSteps &sweepOf(const FleetSize &size) {
   return *std::find_if(
-      std::begin(Sweeps), std::end(Sweeps),
-      [&](const SweepSteps &it) { return size.Vms <= it.MaxVms; });
+      std::begin(Sweeps), std::end(Sweeps), [&](const SweepSteps &it) {
+        uint32_t vms = size.ChangesAll ? 2 * size.Vms : size.Vms;
+        return vms <= it.MaxVms;
+      });
 }
 
 class LateChange
@@ -290,6 +296,19 @@
     {"Of52", 52, 4, milliseconds(60)},
 };
 
+/// A fleet whose changes are too large to be pushed.
+constexpr FleetSize LargeChanges[] = {
+    {"LargeChangesOf36", 36, 4, milliseconds(60), 2000, true},
+};
+
+INSTANTIATE_TEST_SUITE_P(LargeSweep, LateChange,
+                         testing::Combine(testing::ValuesIn(LargeChanges),
+                                          testing::ValuesIn(Losses)),
+                         [](const auto &it) {
+                           return std::string(std::get<0>(it.param).Name) +
+                                  std::string(std::get<1>(it.param).Name);
+                         });
+
 /// One step of a run.
 struct Trouble {
   uint32_t Action = 0;
