A change is encoded only if a VM is to get it

Since each VM, not just the watchers, encoded every change it adopted, for an empty list of receivers: processor time on weak VMs for nothing. Push IsNotSentToNobody counted 8 pushing VMs of 8 before, and counts the two watchers now. All 186 configuration tests pass (optimized build).

--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -431,7 +431,7 @@
   PushTargets.erase(std::unique(PushTargets.begin(), PushTargets.end()),
                     PushTargets.end());
   std::erase(PushTargets, self);
-  PushIncomplete = !sendDeltas(PushTargets, from, step);
+  PushIncomplete = !PushTargets.empty() && !sendDeltas(PushTargets, from, step);
 }
 
 /// Adds the VMs of this zone. Every watcher pushes to all of them, since
--- a/tests/config_fleet_test.cpp
+++ b/tests/config_fleet_test.cpp
@@ -556,6 +556,33 @@
                            return std::string(it.param.Name);
                          });
 
+/// Guards against the encoding of a change for nobody.
+TEST(Push, IsNotSentToNobody) {
+  ConfigInit init;
+  useReaderTimes(init);
+  ConfigKeeper keeper;
+  Freshness marks(init.Bounds);
+  ConfigSync sync(keeper, marks, init.Sync, 1);
+  adopt(keeper, 3);
+  adopt(keeper, 5);
+  CatalogIndex names;
+  std::vector<VmEntry> vms(8);
+  for (uint32_t n = 0; n < vms.size(); ++n)
+    vms[n].Name = "vm" + std::to_string(n);
+  EffectBuffer effects;
+  FleetReach reach;
+  uint32_t pushing = 0;
+  for (uint32_t n = 0; n < vms.size(); ++n) {
+    ConfigStep step{Instant{seconds(1)}, effects, {vms, {n}},
+                    ZoneHandle{},        reach,   names};
+    effects.clear();
+    sync.onAdopted(3, false, step);
+    pushing += effects.items().empty() ? 0 : 1;
+  }
+  // Only the watchers have VMs that rely on them.
+  EXPECT_EQ(pushing, init.Sync.MinWatchers);
+}
+
 FleetInit readerInit() {
   FleetInit init;
   init.Vms = 24;
